--- /dev/null
+++ b/decide/decide.go
@@ -0,0 +1,745 @@
+// Package decide holds all decisions of a dispatcher; types.go holds the plain values it takes and gives.
+//
+// It is asked through three calls. Place(now, ntf) takes a new notification, or places the one whose turn has
+// come: push it, not yet, or never. After(now, outcome) tells what a push's end asks for. Wait(now) gives the
+// seconds until Place is to be asked next, and for whom: 0 means now; no id means the module's own errands.
+// The ordinary path of a notification is Place, top to bottom; turns and allowances are DESIGN's.
+//
+// Beside the design stand five mechanisms:
+//  1. silence: an endpoint unusually silent, or that broke a push, is set aside for a fixed time and a random part
+//  2. return budget: a destination that failed gets one push at a time, then no more than a cold one can take
+//  3. once-only care: once-only notifications wait while their destination fails and others can try it
+//  4. patience: time-outs follow the answer times last seen
+//  5. winnable: what can no longer be delivered is answered at once
+package decide
+
+import (
+	"math"
+	"slices"
+
+	"orchiddrift/directory"
+)
+
+const (
+	quantum    = 1.0 // deficit earned on a visit, times the destination's weight
+	reserve    = 0.1 // share of the limit that low-benefit topic types leave alone
+	fullStop   = 0.5 // stop after a refusal that tells no wait
+	forget     = 1.0 // the allowance is forgotten after so long with no call out
+	asideFixed = 1.0 // an endpoint set aside returns after this
+	asideRand  = 0.5 // and a random part of this
+	unusual    = 6.0 // silence of so many mean gaps is unusual
+	firstGap   = 0.5 // the gap taken as seen before there are any
+	kept       = 16  // samples kept of each kind
+	recent     = 8   // outcomes that health is read from
+	shutAfter  = 2.0 // refusals for so long with no delivery are an outage, not a limit
+	rider      = 0.25
+	careful    = 0.8 // the part of a return budget that is spent
+	rough      = 1.5 // a rough rate may be so many times too high
+	minPatient = 2.0
+	patience   = 8.0 // times the mean answer time
+	askAgain   = 1.0
+)
+
+var never = math.Inf(1)
+
+// Slots says how much may be out and held at once, and by kind how many notifications share a call.
+type Slots struct {
+	calls, held int
+	batch       map[string]int
+}
+
+// NewSlots takes the calls that may be out, the notifications that may be held, and the batch of each kind.
+func NewSlots(calls, held int, batch map[string]int) Slots { return Slots{calls, held, batch} }
+
+// Routes says which kinds' endpoints are routes apart, and what a notification costs by zone.
+type Routes struct {
+	apart map[string]bool
+	fee   map[string]float64
+}
+
+// NewRoutes takes the kinds whose endpoints are apart and the fee by zone.
+func NewRoutes(apart map[string]bool, fee map[string]float64) Routes { return Routes{apart, fee} }
+
+// Returns says what a destination back from an outage can take.
+type Returns struct{ from, span, multiple, fall, share, doubt float64 }
+
+// NewReturns takes the cold share of capacity, the cold time, the multiple that makes it fall when sent for the
+// fall time, the number of dispatchers, and whether listed rates are rough.
+func NewReturns(from, span, multiple, fall float64, dispatchers int, isRough bool) Returns {
+	r := Returns{from, span, multiple, fall, 1 / float64(max(dispatchers, 1)), 1}
+	if isRough {
+		r.doubt = rough
+	}
+	return r
+}
+
+// Pushes says how often and how late a notification may be pushed.
+type Pushes struct {
+	most        int
+	settle, end float64
+}
+
+// NewPushes takes the most pushes, the rest of a key after a push that may still run, and the clock's tick.
+func NewPushes(most int, settle, tick float64) Pushes { return Pushes{most, settle, tick} }
+
+// List says how the list is followed.
+type List struct {
+	ask     bool
+	heard   int
+	next    float64
+	pending bool
+}
+
+// NewList takes whether the list answers only when asked.
+func NewList(ask bool) List { return List{ask: ask} }
+
+// Module decides for one dispatcher.
+type Module struct {
+	rng     pcg
+	dir     *directory.Directory
+	topics  map[string]Topic
+	top     float64 // highest benefit of a topic type
+	slots   Slots
+	routes  Routes
+	returns Returns
+	pushes  Pushes
+	list    List
+	held    map[string]*held
+	keys    map[string][]*held
+	dests   map[string]*dest
+	gates   map[string]*gate
+	ends    map[string]*endpoint
+	round   []*dest
+	pointer int
+	granted bool
+	out     int
+}
+
+// held is a notification taken and not yet done with.
+type held struct {
+	Notification
+	topic    Topic
+	until    float64 // its TTL ends
+	came     float64
+	pushes   int
+	call     *call   // the push out, nil for none
+	mayRun   float64 // when the first push that may have run was sent; never for none
+	zone     string  // where that push went
+	rest     float64 // its key rests until then once it is over
+	over     bool
+	lastSent float64
+}
+
+// call is a call out, shared by the notifications of one turn.
+type call struct {
+	end    *endpoint
+	gate   *gate
+	at     float64
+	size   int // notifications sent in it
+	riders int // of them without outcome
+}
+
+// dest is a destination's queue.
+type dest struct {
+	id      string
+	queue   []*held
+	deficit float64
+	inRound bool
+}
+
+// gate is a throttle with the measurements of its destination, or of one route apart.
+type gate struct {
+	out       int
+	stop      float64 // nothing starts before
+	allowance float64
+	limit     float64 // last told; 0 for none
+	idle      float64 // since when no call is out
+	sent      []mark  // pushes of the last span that budgets look at
+	ended     []mark  // last outcomes: weight 1 for one that broke, 0 for one that was answered
+	refused   float64 // since when all is refused; never for not
+	struck    bool    // an outage was seen and the destination may still be cold
+	back      float64 // since when it answers again; never for not yet
+	trial     float64 // no trial push before
+}
+
+type mark struct{ at, weight float64 }
+
+// endpoint is what is measured of one endpoint.
+type endpoint struct {
+	calls  []*call
+	aside  float64 // set aside until then
+	heard  float64 // last answer
+	gaps   []float64
+	lasted []float64
+}
+
+// New returns a module with no notifications, started from the wire's seed.
+func New(seed uint64, dir *directory.Directory, topics []Topic, slots Slots, routes Routes, returns Returns,
+	pushes Pushes, list List) *Module {
+	m := &Module{rng: pcg{state: seed}, dir: dir, topics: map[string]Topic{}, slots: slots, routes: routes,
+		returns: returns, pushes: pushes, list: list, held: map[string]*held{}, keys: map[string][]*held{},
+		dests: map[string]*dest{}, gates: map[string]*gate{}, ends: map[string]*endpoint{}}
+	for _, t := range topics {
+		m.topics[t.Name] = t
+		m.top = max(m.top, t.Benefit)
+	}
+	return m
+}
+
+// Place takes a new notification into its destination's queue, or places the one whose turn Wait named.
+func (m *Module) Place(now float64, ntf Notification) Answer {
+	if ntf.ID == "" {
+		return m.errand(now)
+	}
+	h, known := m.held[ntf.ID]
+	d := m.dest(ntf.Dest)
+	if !known {
+		h = &held{Notification: ntf, topic: m.topics[ntf.Topic], came: now, until: now + ntf.Left, mayRun: never}
+		if len(d.queue) >= m.bound(now, d) {
+			return Answer{Do: Throttle, Ntf: h.ID, RetryIn: m.retryIn(now, d)}
+		}
+		m.held[h.ID] = h
+		if h.ordered() {
+			m.keys[h.Key] = append(m.keys[h.Key], h)
+		}
+		m.enqueue(d, h, len(d.queue))
+		return Answer{}
+	}
+	if h.over || h.call != nil {
+		return Answer{}
+	}
+	if m.hopeless(now, d, h) {
+		return m.giveUp(now, d, h)
+	}
+	e, _ := m.admit(now, d, h)
+	if e == nil {
+		return Answer{}
+	}
+	g, end := m.gate(*e), m.end(e.ID)
+	d.deficit--
+	m.leave(d, h)
+	weight := rider
+	if c := m.joinable(now, *e); c != nil {
+		c.size++
+		c.riders++
+		h.call = c
+	} else {
+		h.call = &call{end: end, gate: g, at: now, size: 1, riders: 1}
+		end.calls = append(end.calls, h.call)
+		g.out++
+		m.out++
+		g.allowance--
+		weight = 1
+	}
+	g.sent = append(g.sent, mark{now, weight})
+	g.trial = now + asideFixed + asideRand*m.rng.float()
+	h.pushes++
+	h.lastSent = now
+	return Answer{Do: Push, Ntf: h.ID, Endpoint: e.ID, Timeout: min(m.patience(end, h), h.until-now)}
+}
+
+// After takes in how a push ended and tells what becomes of its notification.
+func (m *Module) After(now float64, o Outcome) Answer {
+	h := m.held[o.Ntf]
+	if h == nil {
+		return Answer{}
+	}
+	d := m.dest(h.Dest)
+	if o.Result == Withdrawn {
+		h.over = true
+		m.leave(d, h)
+		m.settle(now, h)
+		return Answer{}
+	}
+	c := h.call
+	h.call = nil
+	if c != nil {
+		if c.riders--; c.riders == 0 {
+			c.end.calls = slices.DeleteFunc(c.end.calls, func(x *call) bool { return x == c })
+			m.out--
+			if c.gate.out--; c.gate.out == 0 {
+				c.gate.idle = now
+			}
+		}
+		if o.Result != Moot {
+			m.learn(now, c, o)
+		}
+	}
+	switch o.Result {
+	case Failed, TimedOut, Reset, Cancelled:
+		if h.mayRun == never {
+			h.mayRun, h.zone = h.lastSent, m.zone(h.Dest, o.Endpoint)
+		}
+		if o.Result != Failed {
+			h.rest = now + m.pushes.settle
+		}
+	}
+	h.over = h.over || o.Over
+	if h.over {
+		m.settle(now, h)
+		return Answer{}
+	}
+	if m.hopeless(now, d, h) {
+		return m.giveUp(now, d, h)
+	}
+	m.enqueue(d, h, 0)
+	return Answer{}
+}
+
+// Wait gives the seconds until Place is to be asked, and for whom; 0 asks for it now.
+func (m *Module) Wait(now float64) (float64, string) {
+	if m.list.ask && m.errandAt(now) <= now {
+		return 0, ""
+	}
+	next := m.errandAt(now)
+	for _, d := range m.round {
+		for _, h := range d.queue {
+			if m.hopeless(now, d, h) {
+				return 0, h.ID
+			}
+			next = min(next, h.until-m.pushes.end)
+		}
+	}
+	h, when := m.turn(now)
+	if h != nil {
+		return 0, h.ID
+	}
+	return min(next, when) - now, ""
+}
+
+// turn moves the pointer to the destination whose head may leave; where none may, it tells when one could.
+func (m *Module) turn(now float64) (*held, float64) {
+	next := never
+	for blocked := 0; blocked < len(m.round); {
+		if m.pointer >= len(m.round) {
+			m.pointer = 0
+		}
+		d := m.round[m.pointer]
+		h, when := m.head(now, d)
+		if h != nil {
+			if !m.granted {
+				d.deficit += quantum * m.weight(d, h)
+				m.granted = true
+			}
+			if d.deficit >= 1 {
+				return h, now
+			}
+		} else {
+			next = min(next, when)
+			blocked++
+		}
+		m.pointer++
+		m.granted = false
+	}
+	return nil, next
+}
+
+// weight scales a destination's quantum: the head's benefit, and a shared call is filled in one turn.
+func (m *Module) weight(d *dest, h *held) float64 {
+	batch := 1
+	for _, e := range m.dir.Of(d.id) {
+		batch = max(batch, m.slots.batch[e.Kind])
+	}
+	return float64(batch) * max(1, h.topic.Benefit)
+}
+
+// head is the first of a queue that may start now, or when one could.
+func (m *Module) head(now float64, d *dest) (*held, float64) {
+	next := never
+	for _, h := range d.queue {
+		e, when := m.admit(now, d, h)
+		if e != nil {
+			return h, now
+		}
+		next = min(next, when)
+	}
+	return nil, next
+}
+
+// admit finds the endpoint with fewest calls in flight that its throttle admits, or when one could be had.
+func (m *Module) admit(now float64, d *dest, h *held) (*directory.Endpoint, float64) {
+	if when := m.keyFree(now, h); when > now {
+		return nil, when
+	}
+	var best *directory.Endpoint
+	next, least := never, 0
+	listed := m.dir.Of(d.id)
+	for i := range listed {
+		e := &listed[i]
+		if e.Stage != directory.Ready || h.mayRun != never && h.topic.Group == "zone" && e.Zone != h.zone {
+			continue
+		}
+		if m.joinable(now, *e) != nil {
+			return e, now
+		}
+		end := m.end(e.ID)
+		when := max(m.opens(now, *e, h), end.aside)
+		if when > now {
+			next = min(next, when)
+			continue
+		}
+		better := best == nil || len(end.calls) < least
+		if !better && len(end.calls) == least {
+			was := m.end(best.ID)
+			fee, wasFee := m.routes.fee[e.Zone], m.routes.fee[best.Zone]
+			better = fee < wasFee || fee == wasFee && end.heard > was.heard
+		}
+		if better {
+			best, least = e, len(end.calls)
+		}
+	}
+	return best, next
+}
+
+// opens tells when the throttle of an endpoint lets h start: now or earlier, a time, or never (an outcome first).
+func (m *Module) opens(now float64, e directory.Endpoint, h *held) float64 {
+	g := m.gate(e)
+	if g.stop > now {
+		return g.stop
+	}
+	if m.out >= m.slots.calls || g.out >= m.cap(now, e) {
+		return never
+	}
+	low := 0.0
+	if h.topic.Benefit < m.top {
+		low = reserve * g.limit
+	}
+	if g.out == 0 && now >= g.idle+m.forgets(g) {
+		g.allowance = never
+	}
+	if g.allowance-1 < low {
+		if g.out == 0 {
+			return g.idle + m.forgets(g)
+		}
+		return never
+	}
+	if m.cares(now, g, h) {
+		return now + asideFixed
+	}
+	return m.budget(now, e, g)
+}
+
+// forgets tells how long the allowance is kept with no call out: a second, or what the limit takes for a call.
+func (m *Module) forgets(g *gate) float64 {
+	if g.limit > 0 {
+		return min(forget, 1/g.limit)
+	}
+	return forget
+}
+
+// cap is three quarters of the slots, half while the destination fails or slows, at least one.
+func (m *Module) cap(now float64, e directory.Endpoint) int {
+	g := m.gate(e)
+	if g.struck || m.silent(now, m.end(e.ID)) {
+		return max(1, m.slots.calls/2)
+	}
+	return max(1, m.slots.calls*3/4)
+}
+
+// budget tells when a struck destination may get its next push. Before it answers again that is one at a time,
+// spaced with a random part; then what it can take while it warms, shared among the dispatchers.
+func (m *Module) budget(now float64, e directory.Endpoint, g *gate) float64 {
+	if g.struck && g.back+m.returns.span < now {
+		g.struck = false
+	}
+	if !g.struck {
+		return now
+	}
+	if g.back == never {
+		if g.out > 0 {
+			return never
+		}
+		return max(now, g.trial)
+	}
+	rate := e.Rate / m.returns.doubt
+	if g.limit > 0 {
+		rate = g.limit
+	}
+	warm := min(1, m.returns.from+(1-m.returns.from)*(now-g.back)/m.returns.span)
+	room := careful * m.returns.multiple * warm * rate * m.returns.fall * m.returns.share
+	span := m.returns.fall
+	if room < 1 {
+		span, room = span/max(room, 0.01), 1
+	}
+	g.sent = slices.DeleteFunc(g.sent, func(s mark) bool { return s.at < now-4*m.returns.fall-span })
+	spent := 0.0
+	for i := len(g.sent) - 1; i >= 0 && g.sent[i].at > now-span; i-- {
+		if spent += g.sent[i].weight; spent > room-1+1e-9 {
+			return g.sent[i].at + span + 1e-6
+		}
+	}
+	return now
+}
+
+// cares tells that a once-only notification had better wait: its destination fails, and another can try it.
+func (m *Module) cares(now float64, g *gate, h *held) bool {
+	if h.topic.Repeat != OnceOnly || !g.struck {
+		return false
+	}
+	return g.back == never || broke(g) > 0
+}
+
+// broke counts the last outcomes that broke.
+func broke(g *gate) int {
+	n := 0
+	for _, s := range g.ended[max(0, len(g.ended)-recent):] {
+		n += int(s.weight)
+	}
+	return n
+}
+
+// learn takes in an outcome: the throttle's report, refusals, and health.
+func (m *Module) learn(now float64, c *call, o Outcome) {
+	g, end := c.gate, c.end
+	if o.Reported {
+		g.limit = o.Limit
+		g.allowance = o.Share * o.Limit
+		if o.Limit == 0 && o.Share == 0 {
+			g.allowance = never
+		}
+	}
+	switch o.Result {
+	case Delivered:
+		end.gaps = last(end.gaps, now-max(end.heard, c.at), kept)
+		end.lasted = last(end.lasted, o.Latency, kept)
+		end.heard = now
+		g.ended = last(g.ended, mark{now, 0}, kept)
+		g.refused = never
+		if g.struck && g.back == never {
+			g.back = now
+		}
+	case Throttled:
+		end.heard = now
+		wait := o.Wait
+		if wait <= 0 {
+			wait = fullStop
+		}
+		g.stop = max(g.stop, now+wait)
+		g.refused = min(g.refused, now)
+		if now+wait-g.refused > shutAfter {
+			g.struck, g.back = true, never
+		}
+	case Failed, TimedOut, NotConnected, Reset:
+		g.ended = last(g.ended, mark{now, 1}, kept)
+		if o.Result == Failed {
+			end.heard = now
+		} else {
+			end.aside = now + asideFixed + asideRand*m.rng.float()
+		}
+		if n := len(g.ended); broke(g) > 1 || n > 1 && g.ended[n-2].weight > 0 || n == 1 {
+			g.struck, g.back = true, never
+		}
+	}
+}
+
+// silent tells that an endpoint's silence is unusual, given the gaps seen before.
+func (m *Module) silent(now float64, end *endpoint) bool {
+	if len(end.calls) == 0 {
+		return false
+	}
+	return now-max(end.heard, end.calls[0].at) > unusual*mean(end.gaps, firstGap)
+}
+
+// patience is a push's time-out, by the answer times last seen.
+func (m *Module) patience(end *endpoint, h *held) float64 {
+	if h.topic.Repeat == OnceOnly {
+		return h.until
+	}
+	return max(minPatient, patience*mean(end.lasted, firstGap))
+}
+
+// hopeless tells that a held notification cannot be delivered any more: it gets its final answer at once.
+func (m *Module) hopeless(now float64, d *dest, h *held) bool {
+	if h.over || h.call != nil {
+		return false
+	}
+	if now >= h.until-m.pushes.end || h.pushes >= m.pushes.most {
+		return true
+	}
+	if h.mayRun == never {
+		return false
+	}
+	return h.topic.Repeat == OnceOnly || h.topic.Repeat == Collapsible && now > h.mayRun+h.topic.Memory-m.pushes.end
+}
+
+// giveUp ends a notification: throttled where it may safely come again, else expired.
+func (m *Module) giveUp(now float64, d *dest, h *held) Answer {
+	h.over = true
+	m.leave(d, h)
+	m.settle(now, h)
+	if h.mayRun == never || h.topic.Repeat == Repeatable || h.topic.Repeat == Collapsible && h.topic.Group == "all" {
+		return Answer{Do: Throttle, Ntf: h.ID, RetryIn: m.retryIn(now, d)}
+	}
+	return Answer{Do: Expire, Ntf: h.ID}
+}
+
+// bound is how many notifications a destination's queue holds.
+func (m *Module) bound(_ float64, _ *dest) int { return max(1, m.slots.held/2) }
+
+// retryIn tells a client when there is likely room again.
+func (m *Module) retryIn(now float64, d *dest) float64 {
+	wait := forget
+	for _, e := range m.dir.Of(d.id) {
+		wait = max(wait, m.gate(e).stop-now)
+	}
+	return wait
+}
+
+// keyFree tells when an ordered notification's key is its own: now, a time, or never (an outcome first).
+func (m *Module) keyFree(now float64, h *held) float64 {
+	if !h.ordered() {
+		return now
+	}
+	wait := now
+	for _, x := range m.keys[h.Key] {
+		if x == h {
+			return wait
+		}
+		if !x.over || x.call != nil {
+			return never
+		}
+		wait = max(wait, x.rest)
+	}
+	return wait
+}
+
+// settle forgets a notification that is over, once its push has an outcome and its key has rested.
+func (m *Module) settle(now float64, h *held) {
+	if h.call != nil {
+		return
+	}
+	delete(m.held, h.ID)
+	if !h.ordered() {
+		return
+	}
+	left := slices.DeleteFunc(m.keys[h.Key], func(x *held) bool { return x.over && x.call == nil && x.rest <= now })
+	if len(left) == 0 {
+		delete(m.keys, h.Key)
+	} else {
+		m.keys[h.Key] = left
+	}
+}
+
+func (h *held) ordered() bool { return h.topic.Ordered && h.Key != "" }
+
+// joinable is the call of this turn to an endpoint that has room for another notification.
+func (m *Module) joinable(now float64, e directory.Endpoint) *call {
+	calls := m.end(e.ID).calls
+	if n := len(calls); n > 0 && calls[n-1].at == now && calls[n-1].size < m.slots.batch[e.Kind] {
+		return calls[n-1]
+	}
+	return nil
+}
+
+func (m *Module) enqueue(d *dest, h *held, at int) {
+	d.queue = slices.Insert(d.queue, at, h)
+	if !d.inRound {
+		d.inRound = true
+		d.deficit = 0
+		m.round = append(m.round, d)
+	}
+}
+
+// leave takes a notification off its queue; an emptied queue leaves the round and its deficit is reset.
+func (m *Module) leave(d *dest, h *held) {
+	d.queue = slices.DeleteFunc(d.queue, func(x *held) bool { return x == h })
+	if len(d.queue) > 0 || !d.inRound {
+		return
+	}
+	d.inRound = false
+	d.deficit = 0
+	i := slices.Index(m.round, d)
+	m.round = slices.Delete(m.round, i, i+1)
+	if i < m.pointer {
+		m.pointer--
+	} else if i == m.pointer {
+		m.granted = false
+	}
+}
+
+// errandAt tells when the list is to be asked for.
+func (m *Module) errandAt(now float64) float64 {
+	if !m.list.ask {
+		return never
+	}
+	if m.list.pending && m.dir.Heard != m.list.heard {
+		m.list.pending = false
+		m.list.next = never
+	}
+	if m.dir.Failures > 0 && m.list.next == never {
+		m.list.next = now + askAgain*(1+m.rng.float())
+	}
+	return m.list.next
+}
+
+// errand follows the list where it answers only when asked, and asks again after a failure.
+func (m *Module) errand(now float64) Answer {
+	if m.errandAt(now) > now {
+		return Answer{}
+	}
+	m.list.pending, m.list.heard, m.list.next = true, m.dir.Heard, now+5
+	return Answer{Do: Watch}
+}
+
+func (m *Module) dest(id string) *dest {
+	if m.dests[id] == nil {
+		m.dests[id] = &dest{id: id}
+	}
+	return m.dests[id]
+}
+
+func (m *Module) gate(e directory.Endpoint) *gate {
+	id := "to " + e.Dest
+	if m.routes.apart[e.Kind] {
+		id = e.ID
+	}
+	if m.gates[id] == nil {
+		m.gates[id] = &gate{allowance: never, refused: never, back: never}
+	}
+	return m.gates[id]
+}
+
+func (m *Module) end(id string) *endpoint {
+	if m.ends[id] == nil {
+		m.ends[id] = &endpoint{}
+	}
+	return m.ends[id]
+}
+
+func (m *Module) zone(dest, id string) string {
+	for _, e := range m.dir.Of(dest) {
+		if e.ID == id {
+			return e.Zone
+		}
+	}
+	return ""
+}
+
+// last appends a sample and keeps the newest n.
+func last[T any](s []T, v T, n int) []T {
+	s = append(s, v)
+	return s[max(0, len(s)-n):]
+}
+
+// mean of the samples, with other standing in for two more.
+func mean(s []float64, other float64) float64 {
+	sum := 2 * other
+	for _, v := range s {
+		sum += v
+	}
+	return sum / float64(len(s)+2)
+}
+
+// pcg is the permuted congruential generator PCG-XSH-RR 64/32.
+type pcg struct{ state uint64 }
+
+func (p *pcg) float() float64 {
+	old := p.state
+	p.state = old*6364136223846793005 + 1442695040888963407
+	word := uint32(((old >> 18) ^ old) >> 27)
+	rot := uint32(old >> 59)
+	return float64(word>>rot|word<<(-rot&31)) / (1 << 32)
+}
+
+// Knows tells whether a topic type is among the settings.
+func (m *Module) Knows(topic string) bool { _, ok := m.topics[topic]; return ok }
--- /dev/null
+++ b/decide/types.go
@@ -0,0 +1,99 @@
+package decide
+
+// Repeat tells what a topic type allows once a push may have run.
+type Repeat string
+
+// The kinds of topic type, as the wire spells them.
+const (
+	Repeatable  Repeat = "free"
+	Collapsible Repeat = "guarded"
+	OnceOnly    Repeat = "single_shot"
+)
+
+// Topic is a topic type: what its notifications are worth and what they allow. Times are in seconds.
+type Topic struct {
+	Name        string
+	Repeat      Repeat
+	Memory      float64 // collapsible: how long a repeat is known, from the first push that may have run
+	Group       string  // collapsible: "all" endpoints of the destination know it, or those of one "zone"
+	Objective   float64 // delivered within this time it earns its full benefit
+	TTL         float64
+	Benefit     float64
+	LateBenefit float64 // the share of the benefit left at the TTL
+	Ordered     bool    // notifications of one key go one at a time, in the order taken
+}
+
+// Tenant is a client with its share of the service.
+type Tenant struct {
+	Name string
+	Rate float64 // notifications a second within its share, over all dispatchers
+}
+
+// Notification is what the adapter hands to Place; the empty one asks for the module's own errands.
+type Notification struct {
+	ID     string
+	Topic  string
+	Tenant string
+	Dest   string
+	Key    string  // of the order; "" for none
+	Left   float64 // seconds in which it may still be delivered, when it came in
+}
+
+// Result tells how a push ended.
+type Result int
+
+// The results; those after Delivered up to NoSlot keep the wire's meaning.
+const (
+	Delivered    Result = iota
+	Failed              // answered with an error: may have run
+	Throttled           // turned away unseen: never ran
+	TimedOut            // no answer in time: may have run
+	NotConnected        // no connection: never ran
+	Reset               // the connection broke: may have run
+	Cancelled           // called off: may have run
+	Moot                // not sent at all
+	Withdrawn           // nobody wants the notification any more
+	Note                // a note from another dispatcher
+)
+
+// Outcome is what the adapter hands to After. Ntf is empty for the result of a probe or a note.
+type Outcome struct {
+	Ntf      string
+	Push     int
+	Result   Result
+	Over     bool // the notification has its final answer
+	Endpoint string
+	Latency  float64
+	Wait     float64 // Throttled: the wait told, 0 for none
+	NoSlot   bool    // Moot: every slot was taken
+	Reported bool    // Share and Limit were told
+	Share    float64 // of the limit, left just now
+	Limit    float64 // calls a second
+}
+
+// Do is what an answer asks for.
+type Do int
+
+// What the module can answer.
+const (
+	Hold     Do = iota // not yet, or nothing
+	Push               // send Ntf to Endpoint, waiting Timeout
+	Throttle           // final: not delivered, may safely come again, best after RetryIn
+	Expire             // final: given up, with no promise
+	Cancel             // stop waiting for the push numbered Push of Ntf
+	Probe              // check Endpoint
+	Watch              // follow the list
+	Fetch              // ask for the whole list once
+	Tell               // send Body to every other dispatcher
+)
+
+// Answer is what the module answers.
+type Answer struct {
+	Do       Do
+	Ntf      string
+	Endpoint string
+	Timeout  float64
+	RetryIn  float64
+	Push     int
+	Body     string
+}
--- /dev/null
+++ b/simwire/simwire.go
@@ -0,0 +1,126 @@
+// Package simwire frames and parses the simulator's wire: lines of fields, set in batches.
+package simwire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Absent is how the wire writes a value that is not there.
+const Absent = "-"
+
+// Line is one line of a batch: its number in the input, its name and its values.
+type Line struct {
+	Number int
+	Name   string
+	Values []string
+}
+
+// Reader reads lines and counts them.
+type Reader struct {
+	in   *bufio.Reader
+	line int
+}
+
+// NewReader reads the wire from in.
+func NewReader(in io.Reader) *Reader { return &Reader{in: bufio.NewReaderSize(in, 1<<20)} }
+
+// Next returns the next line, or io.EOF after the last one.
+func (r *Reader) Next() (Line, error) {
+	text, err := r.in.ReadString('\n')
+	if text == "" && errors.Is(err, io.EOF) {
+		return Line{}, io.EOF
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		return Line{}, fmt.Errorf("reading after line %d: %w", r.line, err)
+	}
+	r.line++
+	fields := strings.Split(strings.TrimRight(text, "\r\n"), " ")
+	return Line{Number: r.line, Name: fields[0], Values: fields[1:]}, nil
+}
+
+// Want checks that the line has n values.
+func (l Line) Want(n int) error {
+	if len(l.Values) != n {
+		return fmt.Errorf("line %d: %s has %d values, not %d", l.Number, l.Name, len(l.Values), n)
+	}
+	return nil
+}
+
+// Bad is the error for a field that cannot be read.
+func (l Line) Bad(field, value string) error {
+	return fmt.Errorf("line %d: %s: field %s cannot be %q", l.Number, l.Name, field, value)
+}
+
+// Text returns a value that must be there.
+func (l Line) Text(i int, field string) (string, error) {
+	if v := l.Values[i]; v != "" && v != Absent {
+		return v, nil
+	}
+	return "", l.Bad(field, l.Values[i])
+}
+
+// Optional returns a value, "" where it is absent.
+func (l Line) Optional(i int) string {
+	if l.Values[i] == Absent {
+		return ""
+	}
+	return l.Values[i]
+}
+
+// Number returns a finite number; absent is 0.
+func (l Line) Float(i int, field string) (float64, error) {
+	if l.Values[i] == Absent {
+		return 0, nil
+	}
+	v, err := strconv.ParseFloat(l.Values[i], 64)
+	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+		return 0, l.Bad(field, l.Values[i])
+	}
+	return v, nil
+}
+
+// Int returns a whole number; absent is 0.
+func (l Line) Int(i int, field string) (int64, error) {
+	if l.Values[i] == Absent {
+		return 0, nil
+	}
+	v, err := strconv.ParseInt(l.Values[i], 10, 64)
+	if err != nil {
+		return 0, l.Bad(field, l.Values[i])
+	}
+	return v, nil
+}
+
+// Bool returns a flag, written 1 or 0.
+func (l Line) Bool(i int, field string) (bool, error) {
+	switch l.Values[i] {
+	case "1":
+		return true, nil
+	case "0":
+		return false, nil
+	}
+	return false, l.Bad(field, l.Values[i])
+}
+
+// Report reads a load report: name:value pairs set apart by commas; absent is no report.
+func (l Line) Report(i int, field string) (map[string]float64, error) {
+	if l.Values[i] == Absent {
+		return nil, nil
+	}
+	report := map[string]float64{}
+	for pair := range strings.SplitSeq(l.Values[i], ",") {
+		name, text, ok := strings.Cut(pair, ":")
+		v, err := strconv.ParseFloat(text, 64)
+		if !ok || name == "" || err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+			return nil, l.Bad(field, l.Values[i])
+		}
+		report[name] = v
+	}
+	return report, nil
+}
