Pace destinations after refusals by what they lately took

Cause: after each stop the whole queue went out at once and was refused again; refusals spend the limit and pushes. Could harm where a limit rises suddenly: the pace climbs a tenth a second.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -5,12 +5,13 @@
 // seconds until Place is to be asked next, and for whom: 0 means now; no id means the module's own errands.
 // The ordinary path of a notification is Place, top to bottom; turns and allowances are DESIGN's.
 //
-// Beside the design stand five mechanisms:
+// Beside the design stand six mechanisms:
 //  1. silence: an endpoint unusually silent, or that broke a push, is set aside for a fixed time and a random part
 //  2. return budget: a destination that failed gets one push at a time, then no more than a cold one can take
 //  3. once-only care: once-only notifications wait while their destination fails and others can try it
 //  4. patience: time-outs follow the answer times last seen
 //  5. winnable: what can no longer be delivered is answered at once
+//  6. pace: after refusals a destination is sent what it lately took, then slowly more
 package decide
 
 import (
@@ -30,6 +31,7 @@
 	unusual    = 6.0 // silence of so many mean gaps is unusual
 	firstGap   = 0.5 // the gap taken as seen before there are any
 	kept       = 16  // samples kept of each kind
+	many       = 256 // pushes kept
 	recent     = 8   // outcomes that health is read from
 	shutAfter  = 2.0 // refusals for so long with no delivery are an outage, not a limit
 	rider      = 0.25
@@ -38,6 +40,10 @@
 	minPatient = 2.0
 	patience   = 8.0 // times the mean answer time
 	askAgain   = 1.0
+	paceSpan   = 0.5 // a pace is kept over each such span
+	takenSpan  = 2.0 // what a destination takes is read over this span before a refusal
+	climb      = 0.1 // the pace grows by this part a second
+	easing     = 0.9 // and starts at this part of what was taken
 )
 
 var never = math.Inf(1)
@@ -157,6 +163,7 @@
 	sent      []mark  // pushes of the last span that budgets look at
 	ended     []mark  // last outcomes: weight 1 for one that broke, 0 for one that was answered
 	refused   float64 // since when all is refused; never for not
+	full      float64 // when it last refused; -never for not yet
 	struck    bool    // an outage was seen and the destination may still be cold
 	back      float64 // since when it answers again; never for not yet
 	trial     float64 // no trial push before
@@ -195,7 +202,7 @@
 	d := m.dest(ntf.Dest)
 	if !known {
 		h = &held{Notification: ntf, topic: m.topics[ntf.Topic], came: now, until: now + ntf.Left, mayRun: never}
-		if len(d.queue) >= m.bound(now, d) {
+		if len(d.queue) >= m.bound() {
 			return Answer{Do: Throttle, Ntf: h.ID, RetryIn: m.retryIn(now, d)}
 		}
 		m.held[h.ID] = h
@@ -231,7 +238,7 @@
 		g.allowance--
 		weight = 1
 	}
-	g.sent = append(g.sent, mark{now, weight})
+	g.sent = last(g.sent, mark{now, weight}, many)
 	g.trial = now + asideFixed + asideRand*m.rng.float()
 	h.pushes++
 	h.lastSent = now
@@ -416,7 +423,7 @@
 	if m.cares(now, g, h) {
 		return now + asideFixed
 	}
-	return m.budget(now, e, g)
+	return max(m.budget(now, e, g), m.pace(now, e, g))
 }
 
 // forgets tells how long the allowance is kept with no call out: a second, or what the limit takes for a call.
@@ -451,17 +458,42 @@
 		}
 		return max(now, g.trial)
 	}
-	rate := e.Rate / m.returns.doubt
+	warm := min(1, m.returns.from+(1-m.returns.from)*(now-g.back)/m.returns.span)
+	rate := careful * m.returns.multiple * warm * m.rate(e, g) * m.returns.share
+	return m.window(now, g, rate, m.returns.fall)
+}
+
+// rate is what a destination takes a second from all dispatchers, as told last and best.
+func (m *Module) rate(e directory.Endpoint, g *gate) float64 {
 	if g.limit > 0 {
-		rate = g.limit
+		return g.limit
 	}
-	warm := min(1, m.returns.from+(1-m.returns.from)*(now-g.back)/m.returns.span)
-	room := careful * m.returns.multiple * warm * rate * m.returns.fall * m.returns.share
-	span := m.returns.fall
+	return e.Rate / m.returns.doubt
+}
+
+// pace tells when the next push may go where pushes were refused: what was taken before the last refusal, or an
+// even share of the told rate, is kept to at first and then slowly passed. It guards against the others' use of
+// a limit, limits lowered without a report, and refusals that use up the limit.
+func (m *Module) pace(now float64, e directory.Endpoint, g *gate) float64 {
+	if now-g.full > 1/climb {
+		return now
+	}
+	taken := 0.0
+	for _, s := range g.ended {
+		if s.weight == 0 && s.at <= g.full && s.at > g.full-takenSpan {
+			taken++
+		}
+	}
+	base := easing * max(taken/takenSpan, m.rate(e, g)*m.returns.share)
+	return m.window(now, g, base*(1+climb*(now-g.full)), paceSpan)
+}
+
+// window tells when the next push may go, if no span is to see more pushes than the rate gives it.
+func (m *Module) window(now float64, g *gate, rate, span float64) float64 {
+	room := rate * span
 	if room < 1 {
 		span, room = span/max(room, 0.01), 1
 	}
-	g.sent = slices.DeleteFunc(g.sent, func(s mark) bool { return s.at < now-4*m.returns.fall-span })
 	spent := 0.0
 	for i := len(g.sent) - 1; i >= 0 && g.sent[i].at > now-span; i-- {
 		if spent += g.sent[i].weight; spent > room-1+1e-9 {
@@ -503,7 +535,7 @@
 		end.gaps = last(end.gaps, now-max(end.heard, c.at), kept)
 		end.lasted = last(end.lasted, o.Latency, kept)
 		end.heard = now
-		g.ended = last(g.ended, mark{now, 0}, kept)
+		g.ended = last(g.ended, mark{now, 0}, many)
 		g.refused = never
 		if g.struck && g.back == never {
 			g.back = now
@@ -516,11 +548,12 @@
 		}
 		g.stop = max(g.stop, now+wait)
 		g.refused = min(g.refused, now)
+		g.full = now
 		if now+wait-g.refused > shutAfter {
 			g.struck, g.back = true, never
 		}
 	case Failed, TimedOut, NotConnected, Reset:
-		g.ended = last(g.ended, mark{now, 1}, kept)
+		g.ended = last(g.ended, mark{now, 1}, many)
 		if o.Result == Failed {
 			end.heard = now
 		} else {
@@ -574,7 +607,7 @@
 }
 
 // bound is how many notifications a destination's queue holds.
-func (m *Module) bound(_ float64, _ *dest) int { return max(1, m.slots.held/2) }
+func (m *Module) bound() int { return max(1, m.slots.held/2) }
 
 // retryIn tells a client when there is likely room again.
 func (m *Module) retryIn(now float64, d *dest) float64 {
@@ -694,7 +727,7 @@
 		id = e.ID
 	}
 	if m.gates[id] == nil {
-		m.gates[id] = &gate{allowance: never, refused: never, back: never}
+		m.gates[id] = &gate{allowance: never, refused: never, full: -never, back: never}
 	}
 	return m.gates[id]
 }
