Bound each queue by the room left

Cause: queues of dead destinations filled the room, so all newcomers were turned away unseen. Could harm a lone clump larger than half the room.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -606,8 +606,9 @@
 	return Answer{Do: Expire, Ntf: h.ID}
 }
 
-// bound is how many notifications a destination's queue holds.
-func (m *Module) bound() int { return max(1, m.slots.held/2) }
+// bound is how many notifications a destination's queue holds: as many as there is room left, so that queues
+// that stand still leave room for those that move.
+func (m *Module) bound() int { return max(1, m.slots.held-len(m.held)) }
 
 // retryIn tells a client when there is likely room again.
 func (m *Module) retryIn(now float64, d *dest) float64 {
