--- a/decide/decide.go
+++ b/decide/decide.go
@@ -380,6 +380,9 @@
 			return e, now
 		}
 		end := m.end(e.ID)
+		if m.silent(now, end) {
+			continue
+		}
 		when := max(m.opens(now, *e, h), end.aside)
 		if when > now {
 			next = min(next, when)
@@ -575,10 +578,11 @@
 
 // patience is a push's time-out, by the answer times last seen.
 func (m *Module) patience(end *endpoint, h *held) float64 {
+	wait := max(minPatient, patience*mean(end.lasted, firstGap))
 	if h.topic.Repeat == OnceOnly {
-		return h.until
+		wait *= 2
 	}
-	return max(minPatient, patience*mean(end.lasted, firstGap))
+	return wait
 }
 
 // hopeless tells that a held notification cannot be delivered any more: it gets its final answer at once.
