--- a/cmd/simhost/boot.go
+++ b/cmd/simhost/boot.go
@@ -37,17 +37,16 @@
 			fee[zones[i]] = f
 		}
 	}
-	settle := s.FloatOr("guarantees.turn-gap-ms", 0) / 1000
-	mode := s.Text("membership-mode")
 	dir := directory.New()
 	m := decide.New(seed, dir, topics(s),
-		decide.NewSlots(s.Int("family-info.max-calls"), s.Int("policy-limits.most-held"), batch),
-		decide.NewRoutes(apart, fee),
-		decide.NewReturns(s.Float("guarantees.cold-from"), s.Seconds("guarantees.cold-ms"),
-			s.Float("guarantees.overload-factor"), s.Seconds("guarantees.fall-ms"), s.Int("balancers"),
-			s.Text("weight-kind") == "rough"),
-		decide.NewPushes(s.Int("policy-limits.max-attempts"), settle, s.Seconds("tick-ms")),
-		decide.NewList(mode == "ask"))
+		decide.Slots{Calls: s.Int("family-info.max-calls"), Held: s.Int("policy-limits.most-held"), Batch: batch},
+		decide.Routes{Apart: apart, Fee: fee},
+		decide.Returns{ColdFrom: s.Float("guarantees.cold-from"), ColdSpan: s.Seconds("guarantees.cold-ms"),
+			Multiple: s.Float("guarantees.overload-factor"), FallAfter: s.Seconds("guarantees.fall-ms"),
+			Dispatchers: s.Int("balancers"), Rough: s.Text("weight-kind") == "rough"},
+		decide.Pushes{Most: s.Int("policy-limits.max-attempts"), Settle: s.FloatOr("guarantees.turn-gap-ms", 0) / 1000,
+			Tick: s.Seconds("tick-ms")},
+		s.Text("membership-mode") == "ask")
 	if s.Err() != nil {
 		return nil, s.Err()
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,144 +48,15 @@
 
 var never = math.Inf(1)
 
-// Slots says how much may be out and held at once, and by kind how many notifications share a call.
-type Slots struct {
-	calls, held int
-	batch       map[string]int
-}
-
-// NewSlots takes the calls that may be out, the notifications that may be held, and the batch of each kind.
-func NewSlots(calls, held int, batch map[string]int) Slots { return Slots{calls, held, batch} }
-
-// Routes says which kinds' endpoints are routes apart, and what a notification costs by zone.
-type Routes struct {
-	apart map[string]bool
-	fee   map[string]float64
-}
-
-// NewRoutes takes the kinds whose endpoints are apart and the fee by zone.
-func NewRoutes(apart map[string]bool, fee map[string]float64) Routes { return Routes{apart, fee} }
-
-// Returns says what a destination back from an outage can take.
-type Returns struct{ from, span, multiple, fall, share, doubt float64 }
-
-// NewReturns takes the cold share of capacity, the cold time, the multiple that makes it fall when sent for the
-// fall time, the number of dispatchers, and whether listed rates are rough.
-func NewReturns(from, span, multiple, fall float64, dispatchers int, isRough bool) Returns {
-	r := Returns{from, span, multiple, fall, 1 / float64(max(dispatchers, 1)), 1}
-	if isRough {
-		r.doubt = rough
-	}
-	return r
-}
-
-// Pushes says how often and how late a notification may be pushed.
-type Pushes struct {
-	most        int
-	settle, end float64
-}
-
-// NewPushes takes the most pushes, the rest of a key after a push that may still run, and the clock's tick.
-func NewPushes(most int, settle, tick float64) Pushes { return Pushes{most, settle, tick} }
-
-// List says how the list is followed.
-type List struct {
-	ask     bool
-	heard   int
-	next    float64
-	pending bool
-}
-
-// NewList takes whether the list answers only when asked.
-func NewList(ask bool) List { return List{ask: ask} }
-
-// Module decides for one dispatcher.
-type Module struct {
-	rng     pcg
-	dir     *directory.Directory
-	topics  map[string]Topic
-	top     float64 // highest benefit of a topic type
-	slots   Slots
-	routes  Routes
-	returns Returns
-	pushes  Pushes
-	list    List
-	held    map[string]*held
-	keys    map[string][]*held
-	dests   map[string]*dest
-	gates   map[string]*gate
-	ends    map[string]*endpoint
-	round   []*dest
-	pointer int
-	granted bool
-	out     int
-}
-
-// held is a notification taken and not yet done with.
-type held struct {
-	Notification
-	topic    Topic
-	until    float64 // its TTL ends
-	came     float64
-	pushes   int
-	call     *call   // the push out, nil for none
-	mayRun   float64 // when the first push that may have run was sent; never for none
-	zone     string  // where that push went
-	rest     float64 // its key rests until then once it is over
-	over     bool
-	lastSent float64
-}
-
-// call is a call out, shared by the notifications of one turn.
-type call struct {
-	end    *endpoint
-	gate   *gate
-	at     float64
-	size   int // notifications sent in it
-	riders int // of them without outcome
-}
-
-// dest is a destination's queue.
-type dest struct {
-	id      string
-	queue   []*held
-	deficit float64
-	inRound bool
-}
-
-// gate is a throttle with the measurements of its destination, or of one route apart.
-type gate struct {
-	out       int
-	stop      float64 // nothing starts before
-	allowance float64
-	limit     float64 // last told; 0 for none
-	idle      float64 // since when no call is out
-	sent      []mark  // pushes of the last span that budgets look at
-	ended     []mark  // last outcomes: weight 1 for one that broke, 0 for one that was answered
-	refused   float64 // since when all is refused; never for not
-	full      float64 // when it last refused; -never for not yet
-	struck    bool    // an outage was seen and the destination may still be cold
-	back      float64 // since when it answers again; never for not yet
-	trial     float64 // no trial push before
-}
-
-type mark struct{ at, weight float64 }
-
-// endpoint is what is measured of one endpoint.
-type endpoint struct {
-	calls  []*call
-	aside  float64 // set aside until then
-	heard  float64 // last answer
-	gaps   []float64
-	lasted []float64
-}
-
 // New returns a module with no notifications, started from the wire's seed.
 func New(seed uint64, dir *directory.Directory, topics []Topic, slots Slots, routes Routes, returns Returns,
-	pushes Pushes, list List) *Module {
+	pushes Pushes, ask bool) *Module {
 	m := &Module{rng: pcg{state: seed}, dir: dir, topics: map[string]Topic{}, slots: slots, routes: routes,
-		returns: returns, pushes: pushes, list: list, held: map[string]*held{}, keys: map[string][]*held{},
+		returns: returns, pushes: pushes, ask: ask, held: map[string]*held{}, keys: map[string][]*held{},
 		dests: map[string]*dest{}, gates: map[string]*gate{}, ends: map[string]*endpoint{}}
+	if !ask {
+		m.nextAsk = never
+	}
 	for _, t := range topics {
 		m.topics[t.Name] = t
 		m.top = max(m.top, t.Benefit)
@@ -196,7 +67,8 @@
 // Place takes a new notification into its destination's queue, or places the one whose turn Wait named.
 func (m *Module) Place(now float64, ntf Notification) Answer {
 	if ntf.ID == "" {
-		return m.errand(now)
+		m.heard, m.nextAsk = m.dir.Heard, never
+		return Answer{Do: Watch}
 	}
 	h, known := m.held[ntf.ID]
 	d := m.dest(ntf.Dest)
@@ -278,7 +150,7 @@
 			h.mayRun, h.zone = h.lastSent, m.zone(h.Dest, o.Endpoint)
 		}
 		if o.Result != Failed {
-			h.rest = now + m.pushes.settle
+			h.rest = now + m.pushes.Settle
 		}
 	}
 	h.over = h.over || o.Over
@@ -295,16 +167,16 @@
 
 // Wait gives the seconds until Place is to be asked, and for whom; 0 asks for it now.
 func (m *Module) Wait(now float64) (float64, string) {
-	if m.list.ask && m.errandAt(now) <= now {
+	next := m.errandAt(now)
+	if next <= now {
 		return 0, ""
 	}
-	next := m.errandAt(now)
 	for _, d := range m.round {
 		for _, h := range d.queue {
 			if m.hopeless(now, d, h) {
 				return 0, h.ID
 			}
-			next = min(next, h.until-m.pushes.end)
+			next = min(next, h.until-m.pushes.Tick)
 		}
 	}
 	h, when := m.turn(now)
@@ -345,7 +217,7 @@
 func (m *Module) weight(d *dest, h *held) float64 {
 	batch := 1
 	for _, e := range m.dir.Of(d.id) {
-		batch = max(batch, m.slots.batch[e.Kind])
+		batch = max(batch, m.slots.Batch[e.Kind])
 	}
 	return float64(batch) * max(1, h.topic.Benefit)
 }
@@ -391,7 +263,7 @@
 		better := best == nil || len(end.calls) < least
 		if !better && len(end.calls) == least {
 			was := m.end(best.ID)
-			fee, wasFee := m.routes.fee[e.Zone], m.routes.fee[best.Zone]
+			fee, wasFee := m.routes.Fee[e.Zone], m.routes.Fee[best.Zone]
 			better = fee < wasFee || fee == wasFee && end.heard > was.heard
 		}
 		if better {
@@ -407,7 +279,7 @@
 	if g.stop > now {
 		return g.stop
 	}
-	if m.out >= m.slots.calls || g.out >= m.cap(now, e) {
+	if m.out >= m.slots.Calls || g.out >= m.cap(now, e) {
 		return never
 	}
 	low := 0.0
@@ -441,15 +313,15 @@
 func (m *Module) cap(now float64, e directory.Endpoint) int {
 	g := m.gate(e)
 	if g.struck || m.silent(now, m.end(e.ID)) {
-		return max(1, m.slots.calls/2)
+		return max(1, m.slots.Calls/2)
 	}
-	return max(1, m.slots.calls*3/4)
+	return max(1, m.slots.Calls*3/4)
 }
 
 // budget tells when a struck destination may get its next push. Before it answers again that is one at a time,
 // spaced with a random part; then what it can take while it warms, shared among the dispatchers.
 func (m *Module) budget(now float64, e directory.Endpoint, g *gate) float64 {
-	if g.struck && g.back+m.returns.span < now {
+	if g.struck && g.back+m.returns.ColdSpan < now {
 		g.struck = false
 	}
 	if !g.struck {
@@ -461,9 +333,9 @@
 		}
 		return max(now, g.trial)
 	}
-	warm := min(1, m.returns.from+(1-m.returns.from)*(now-g.back)/m.returns.span)
-	rate := careful * m.returns.multiple * warm * m.rate(e, g) * m.returns.share
-	return m.window(now, g, rate, m.returns.fall)
+	warm := min(1, m.returns.ColdFrom+(1-m.returns.ColdFrom)*(now-g.back)/m.returns.ColdSpan)
+	rate := careful * m.returns.Multiple * warm * m.rate(e, g) / float64(max(1, m.returns.Dispatchers))
+	return m.window(now, g, rate, m.returns.FallAfter)
 }
 
 // rate is what a destination takes a second from all dispatchers, as told last and best.
@@ -471,7 +343,10 @@
 	if g.limit > 0 {
 		return g.limit
 	}
-	return e.Rate / m.returns.doubt
+	if m.returns.Rough {
+		return e.Rate / rough
+	}
+	return e.Rate
 }
 
 // pace tells when the next push may go where pushes were refused: what was taken before the last refusal, or an
@@ -487,7 +362,7 @@
 			taken++
 		}
 	}
-	base := easing * max(taken/takenSpan, m.rate(e, g)*m.returns.share)
+	base := easing * max(taken/takenSpan, m.rate(e, g)/float64(max(1, m.returns.Dispatchers)))
 	return m.window(now, g, base*(1+climb*(now-g.full)), paceSpan)
 }
 
@@ -590,13 +465,13 @@
 	if h.over || h.call != nil {
 		return false
 	}
-	if now >= h.until-m.pushes.end || h.pushes >= m.pushes.most {
+	if now >= h.until-m.pushes.Tick || h.pushes >= m.pushes.Most {
 		return true
 	}
 	if h.mayRun == never {
 		return false
 	}
-	return h.topic.Repeat == OnceOnly || h.topic.Repeat == Collapsible && now > h.mayRun+h.topic.Memory-m.pushes.end
+	return h.topic.Repeat == OnceOnly || h.topic.Repeat == Collapsible && now > h.mayRun+h.topic.Memory-m.pushes.Tick
 }
 
 // giveUp ends a notification: throttled where it may safely come again, else expired.
@@ -612,7 +487,7 @@
 
 // bound is how many notifications a destination's queue holds: as many as there is room left, so that queues
 // that stand still leave room for those that move.
-func (m *Module) bound() int { return max(1, m.slots.held-len(m.held)) }
+func (m *Module) bound() int { return max(1, m.slots.Held-len(m.held)) }
 
 // retryIn tells a client when there is likely room again.
 func (m *Module) retryIn(now float64, d *dest) float64 {
@@ -663,7 +538,7 @@
 // joinable is the call of this turn to an endpoint that has room for another notification.
 func (m *Module) joinable(now float64, e directory.Endpoint) *call {
 	calls := m.end(e.ID).calls
-	if n := len(calls); n > 0 && calls[n-1].at == now && calls[n-1].size < m.slots.batch[e.Kind] {
+	if n := len(calls); n > 0 && calls[n-1].at == now && calls[n-1].size < m.slots.Batch[e.Kind] {
 		return calls[n-1]
 	}
 	return nil
@@ -695,28 +570,13 @@
 	}
 }
 
-// errandAt tells when the list is to be asked for.
+// errandAt tells when the list is to be asked for: at start, and again some time after a failure.
 func (m *Module) errandAt(now float64) float64 {
-	if !m.list.ask {
-		return never
-	}
-	if m.list.pending && m.dir.Heard != m.list.heard {
-		m.list.pending = false
-		m.list.next = never
-	}
-	if m.dir.Failures > 0 && m.list.next == never {
-		m.list.next = now + askAgain*(1+m.rng.float())
+	if m.ask && m.nextAsk == never && m.dir.Failures > 0 && m.dir.Heard != m.heard {
+		m.heard = m.dir.Heard
+		m.nextAsk = now + askAgain*(1+m.rng.float())
 	}
-	return m.list.next
-}
-
-// errand follows the list where it answers only when asked, and asks again after a failure.
-func (m *Module) errand(now float64) Answer {
-	if m.errandAt(now) > now {
-		return Answer{}
-	}
-	m.list.pending, m.list.heard, m.list.next = true, m.dir.Heard, now+5
-	return Answer{Do: Watch}
+	return m.nextAsk
 }
 
 func (m *Module) dest(id string) *dest {
@@ -728,7 +588,7 @@
 
 func (m *Module) gate(e directory.Endpoint) *gate {
 	id := "to " + e.Dest
-	if m.routes.apart[e.Kind] {
+	if m.routes.Apart[e.Kind] {
 		id = e.ID
 	}
 	if m.gates[id] == nil {
@@ -753,31 +613,5 @@
 	return ""
 }
 
-// last appends a sample and keeps the newest n.
-func last[T any](s []T, v T, n int) []T {
-	s = append(s, v)
-	return s[max(0, len(s)-n):]
-}
-
-// mean of the samples, with other standing in for two more.
-func mean(s []float64, other float64) float64 {
-	sum := 2 * other
-	for _, v := range s {
-		sum += v
-	}
-	return sum / float64(len(s)+2)
-}
-
-// pcg is the permuted congruential generator PCG-XSH-RR 64/32.
-type pcg struct{ state uint64 }
-
-func (p *pcg) float() float64 {
-	old := p.state
-	p.state = old*6364136223846793005 + 1442695040888963407
-	word := uint32(((old >> 18) ^ old) >> 27)
-	rot := uint32(old >> 59)
-	return float64(word>>rot|word<<(-rot&31)) / (1 << 32)
-}
-
 // Knows tells whether a topic type is among the settings.
 func (m *Module) Knows(topic string) bool { _, ok := m.topics[topic]; return ok }
--- /dev/null
+++ b/decide/state.go
@@ -0,0 +1,112 @@
+package decide
+
+import "orchiddrift/directory"
+
+// Module decides for one dispatcher.
+type Module struct {
+	rng     pcg
+	dir     *directory.Directory
+	topics  map[string]Topic
+	top     float64 // highest benefit of a topic type
+	slots   Slots
+	routes  Routes
+	returns Returns
+	pushes  Pushes
+	ask     bool    // the list answers only when asked
+	heard   int     // updates heard when it was last asked
+	nextAsk float64 // when it is to be asked; never for not
+	held    map[string]*held
+	keys    map[string][]*held
+	dests   map[string]*dest
+	gates   map[string]*gate
+	ends    map[string]*endpoint
+	round   []*dest
+	pointer int
+	granted bool
+	out     int
+}
+
+// held is a notification taken and not yet done with.
+type held struct {
+	Notification
+	topic    Topic
+	until    float64 // its TTL ends
+	came     float64
+	pushes   int
+	call     *call   // the push out, nil for none
+	mayRun   float64 // when the first push that may have run was sent; never for none
+	zone     string  // where that push went
+	rest     float64 // its key rests until then once it is over
+	over     bool
+	lastSent float64
+}
+
+// call is a call out, shared by the notifications of one turn.
+type call struct {
+	end    *endpoint
+	gate   *gate
+	at     float64
+	size   int // notifications sent in it
+	riders int // of them without outcome
+}
+
+// dest is a destination's queue.
+type dest struct {
+	id      string
+	queue   []*held
+	deficit float64
+	inRound bool
+}
+
+// gate is a throttle with the measurements of its destination, or of one route apart.
+type gate struct {
+	out       int
+	stop      float64 // nothing starts before
+	allowance float64
+	limit     float64 // last told; 0 for none
+	idle      float64 // since when no call is out
+	sent      []mark  // pushes of the last span that budgets look at
+	ended     []mark  // last outcomes: weight 1 for one that broke, 0 for one that was answered
+	refused   float64 // since when all is refused; never for not
+	full      float64 // when it last refused; -never for not yet
+	struck    bool    // an outage was seen and the destination may still be cold
+	back      float64 // since when it answers again; never for not yet
+	trial     float64 // no trial push before
+}
+
+type mark struct{ at, weight float64 }
+
+// endpoint is what is measured of one endpoint.
+type endpoint struct {
+	calls  []*call
+	aside  float64 // set aside until then
+	heard  float64 // last answer
+	gaps   []float64
+	lasted []float64
+}
+
+// last appends a sample and keeps the newest n.
+func last[T any](s []T, v T, n int) []T {
+	s = append(s, v)
+	return s[max(0, len(s)-n):]
+}
+
+// mean of the samples, with other standing in for two more.
+func mean(s []float64, other float64) float64 {
+	sum := 2 * other
+	for _, v := range s {
+		sum += v
+	}
+	return sum / float64(len(s)+2)
+}
+
+// pcg is the permuted congruential generator PCG-XSH-RR 64/32.
+type pcg struct{ state uint64 }
+
+func (p *pcg) float() float64 {
+	old := p.state
+	p.state = old*6364136223846793005 + 1442695040888963407
+	word := uint32(((old >> 18) ^ old) >> 27)
+	rot := uint32(old >> 59)
+	return float64(word>>rot|word<<(-rot&31)) / (1 << 32)
+}
--- a/decide/types.go
+++ b/decide/types.go
@@ -97,3 +97,31 @@
 	Push     int
 	Body     string
 }
+
+// Slots says how much may be out and held at once.
+type Slots struct {
+	Calls int            // calls out
+	Held  int            // notifications held
+	Batch map[string]int // by kind: notifications that share a call
+}
+
+// Routes says which kinds' endpoints are routes apart, and what a notification costs by zone.
+type Routes struct {
+	Apart map[string]bool
+	Fee   map[string]float64
+}
+
+// Returns says what a destination back from an outage can take.
+type Returns struct {
+	ColdFrom, ColdSpan  float64 // the share of capacity it starts with, and the time until all is back
+	Multiple, FallAfter float64 // sent more than this multiple of its capacity for this time, it falls
+	Dispatchers         int
+	Rough               bool // listed rates are rough
+}
+
+// Pushes says how often a notification may be pushed, and when.
+type Pushes struct {
+	Most   int
+	Settle float64 // the rest of a key after a push that may still run
+	Tick   float64 // the least time between two batches
+}
