Ignore failures older than a later delivery; learn patience from time-outs

Cause: pushes hung before a destination came back timed out after it answered again and restarted its outage.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -37,8 +37,9 @@
 	rider      = 0.25
 	careful    = 0.8 // the part of a return budget that is spent
 	rough      = 1.5 // a rough rate may be so many times too high
-	minPatient = 2.0
-	patience   = 8.0 // times the mean answer time
+	patience   = 8.0 // times the mean answer time a push is waited for
+	leastWait  = 0.5 // but this many objectives at least
+	mostWait   = 2.0 // and at most
 	askAgain   = 1.0
 	paceSpan   = 0.5 // a pace is kept over each such span
 	takenSpan  = 2.0 // what a destination takes is read over this span before a refusal
@@ -415,6 +416,7 @@
 		end.heard = now
 		g.ended = last(g.ended, mark{now, 0}, many)
 		g.refused = never
+		g.proof = max(g.proof, c.at)
 		if g.struck && g.back == never {
 			g.back = now
 		}
@@ -431,6 +433,12 @@
 			g.struck, g.back = true, never
 		}
 	case Failed, TimedOut, NotConnected, Reset:
+		if o.Result == TimedOut {
+			end.lasted = last(end.lasted, o.Latency, kept)
+		}
+		if c.at < g.proof { // old news: a later push was answered
+			return
+		}
 		g.ended = last(g.ended, mark{now, 1}, many)
 		if o.Result == Failed {
 			end.heard = now
@@ -453,7 +461,8 @@
 
 // patience is a push's time-out, by the answer times last seen.
 func (m *Module) patience(end *endpoint, h *held) float64 {
-	wait := max(minPatient, patience*mean(end.lasted, firstGap))
+	aim := h.topic.Objective
+	wait := min(max(leastWait*aim, patience*mean(end.lasted, firstGap)), mostWait*aim)
 	if h.topic.Repeat == OnceOnly {
 		wait *= 2
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -71,6 +71,7 @@
 	full      float64 // when it last refused; -never for not yet
 	struck    bool    // an outage was seen and the destination may still be cold
 	back      float64 // since when it answers again; never for not yet
+	proof     float64 // when the latest push that was delivered was sent
 	trial     float64 // no trial push before
 }
 
