--- a/decide/decide.go
+++ b/decide/decide.go
@@ -75,7 +75,7 @@
 	d := m.dest(ntf.Dest)
 	if !known {
 		h = &held{Notification: ntf, topic: m.topics[ntf.Topic], came: now, until: now + ntf.Left, mayRun: never}
-		if len(d.queue) >= m.bound() {
+		if len(d.queue) >= m.bound() && !m.displace(now, d, h) {
 			return Answer{Do: Throttle, Ntf: h.ID, RetryIn: m.retryIn(now, d)}
 		}
 		m.held[h.ID] = h
@@ -474,7 +474,7 @@
 	if h.over || h.call != nil {
 		return false
 	}
-	if now >= h.until-m.pushes.Tick || h.pushes >= m.pushes.Most {
+	if now >= h.until-m.pushes.Tick || h.pushes >= m.pushes.Most || h.shed {
 		return true
 	}
 	if h.mayRun == never {
@@ -498,6 +498,25 @@
 // that stand still leave room for those that move.
 func (m *Module) bound() int { return max(1, m.slots.Held-len(m.held)) }
 
+// displace marks the notification of a full queue that is worth least now, if it is worth less than h.
+func (m *Module) displace(now float64, d *dest, h *held) bool {
+	least := h
+	for _, x := range d.queue {
+		if !x.shed && x.worth(now) < least.worth(now) {
+			least = x
+		}
+	}
+	least.shed = least != h
+	return least.shed
+}
+
+// worth is the benefit of a notification delivered now.
+func (h *held) worth(now float64) float64 {
+	late := now - (h.until - h.topic.TTL + h.topic.Objective)
+	share := 1 - (1-h.topic.LateBenefit)*max(0, late)/max(h.topic.TTL-h.topic.Objective, 1e-9)
+	return h.topic.Benefit * share
+}
+
 // retryIn tells a client when there is likely room again.
 func (m *Module) retryIn(now float64, d *dest) float64 {
 	wait := forget
--- a/decide/state.go
+++ b/decide/state.go
@@ -38,6 +38,7 @@
 	zone     string  // where that push went
 	rest     float64 // its key rests until then once it is over
 	over     bool
+	shed     bool // its place was taken by one worth more
 	lastSent float64
 }
 
