--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,10 +41,10 @@
 	leastWait  = 0.5 // but this many objectives at least
 	mostWait   = 2.0 // and at most
 	askAgain   = 1.0
-	paceSpan   = 0.5 // a pace is kept over each such span
-	takenSpan  = 2.0 // what a destination takes is read over this span before a refusal
-	climb      = 0.1 // the pace grows by this part a second
-	easing     = 0.9 // and starts at this part of what was taken
+	paceSpan   = 0.5  // a pace is kept over each such span
+	takenSpan  = 2.0  // what a destination takes is read over this span before a refusal
+	climb      = 0.05 // the pace grows by this part a second
+	easing     = 0.9  // and starts at this part of what was taken
 )
 
 var never = math.Inf(1)
