--- a/decide/decide.go
+++ b/decide/decide.go
@@ -43,7 +43,7 @@
 	askAgain   = 1.0
 	paceSpan   = 0.5  // a pace is kept over each such span
 	takenSpan  = 2.0  // what a destination takes is read over this span before a refusal
-	climb      = 0.05 // the pace grows by this part a second
+	climb      = 0.03 // the pace grows by this part a second
 	easing     = 0.9  // and starts at this part of what was taken
 )
 
