Once-only waits only where failed pushes may have run

Cause: refused connections prove that nothing ran, yet held once-only notifications back through a whole crash.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,6 +34,8 @@
 	many       = 256 // pushes kept
 	recent     = 8   // outcomes that health is read from
 	shutAfter  = 2.0 // refusals for so long with no delivery are an outage, not a limit
+	broke      = 1.0 // mark of a push that broke and never ran
+	harmed     = 2.0 // mark of one that broke and may have run
 	rider      = 0.25
 	careful    = 0.8 // the part of a return budget that is spent
 	rough      = 1.5 // a rough rate may be so many times too high
@@ -387,14 +389,16 @@
 	if h.topic.Repeat != OnceOnly || !g.struck {
 		return false
 	}
-	return g.back == never || broke(g) > 0
+	return count(g, harmed) > 0
 }
 
-// broke counts the last outcomes that broke.
-func broke(g *gate) int {
+// count tells how many of the last outcomes were of a kind.
+func count(g *gate, kind float64) int {
 	n := 0
 	for _, s := range g.ended[max(0, len(g.ended)-recent):] {
-		n += int(s.weight)
+		if s.weight >= kind {
+			n++
+		}
 	}
 	return n
 }
@@ -439,13 +443,17 @@
 		if c.at < g.proof { // old news: a later push was answered
 			return
 		}
-		g.ended = last(g.ended, mark{now, 1}, many)
+		kind := harmed
+		if o.Result == NotConnected {
+			kind = broke
+		}
+		g.ended = last(g.ended, mark{now, kind}, many)
 		if o.Result == Failed {
 			end.heard = now
 		} else {
 			end.aside = now + asideFixed + asideRand*m.rng.float()
 		}
-		if n := len(g.ended); broke(g) > 1 || n > 1 && g.ended[n-2].weight > 0 || n == 1 {
+		if n := len(g.ended); count(g, broke) > 1 || n > 1 && g.ended[n-2].weight > 0 || n == 1 {
 			g.struck, g.back = true, never
 		}
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -67,7 +67,7 @@
 	limit     float64 // last told; 0 for none
 	idle      float64 // since when no call is out
 	sent      []mark  // pushes of the last span that budgets look at
-	ended     []mark  // last outcomes: weight 1 for one that broke, 0 for one that was answered
+	ended     []mark  // last outcomes: 0 for a delivery, else how it broke
 	refused   float64 // since when all is refused; never for not
 	full      float64 // when it last refused; -never for not yet
 	struck    bool    // an outage was seen and the destination may still be cold
