Bound the slots of all destinations that do not answer together

Cause: with few slots, one trial push at each of several hung destinations held them all. Also covers crashes of many destinations at once; could delay the return of one while others still hang.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -37,6 +37,7 @@
 	broke      = 1.0 // mark of a push that broke and never ran
 	harmed     = 2.0 // mark of one that broke and may have run
 	rider      = 0.25
+	lostPart   = 4   // destinations that do not answer get one slot in so many, together
 	careful    = 0.8 // the part of a return budget that is spent
 	rough      = 1.5 // a rough rate may be so many times too high
 	patience   = 8.0 // times the mean answer time a push is waited for
@@ -331,7 +332,7 @@
 		return now
 	}
 	if g.back == never {
-		if g.out > 0 {
+		if g.out > 0 || m.lost() >= max(1, m.slots.Calls/lostPart) {
 			return never
 		}
 		return max(now, g.trial)
@@ -341,6 +342,17 @@
 	return m.window(now, g, rate, m.returns.FallAfter)
 }
 
+// lost counts the calls out to destinations that do not answer. It guards the slots when several hang at once.
+func (m *Module) lost() int {
+	n := 0
+	for _, g := range m.gates {
+		if g.struck && g.back == never {
+			n += g.out
+		}
+	}
+	return n
+}
+
 // rate is what a destination takes a second from all dispatchers, as told last and best.
 func (m *Module) rate(e directory.Endpoint, g *gate) float64 {
 	if g.limit > 0 {
