Tell a lossy destination from one that is out

Cause: two failures among eight made an outage of a destination that still delivered. Now a failure counts as an outage where nothing was delivered while it was out; most calls failing only restarts the return budget.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -401,13 +401,13 @@
 	if h.topic.Repeat != OnceOnly || !g.struck {
 		return false
 	}
-	return count(g, harmed) > 0
+	return count(g.ended[max(0, len(g.ended)-recent):], harmed) > 0
 }
 
-// count tells how many of the last outcomes were of a kind.
-func count(g *gate, kind float64) int {
+// count tells how many outcomes were of a kind, or worse.
+func count(ended []mark, kind float64) int {
 	n := 0
-	for _, s := range g.ended[max(0, len(g.ended)-recent):] {
+	for _, s := range ended {
 		if s.weight >= kind {
 			n++
 		}
@@ -432,7 +432,7 @@
 		end.heard = now
 		g.ended = last(g.ended, mark{now, 0}, many)
 		g.refused = never
-		g.proof = max(g.proof, c.at)
+		g.proof, g.heard = max(g.proof, c.at), now
 		if g.struck && g.back == never {
 			g.back = now
 		}
@@ -465,8 +465,13 @@
 		} else {
 			end.aside = now + asideFixed + asideRand*m.rng.float()
 		}
-		if n := len(g.ended); count(g, broke) > 1 || n > 1 && g.ended[n-2].weight > 0 || n == 1 {
+		lately := g.ended[max(0, len(g.ended)-recent):]
+		bad := count(lately, broke)
+		switch quiet := g.heard < c.at; {
+		case quiet && (bad > 1 || len(lately) == 1): // nothing was delivered while it was out
 			g.struck, g.back = true, never
+		case 2*bad >= len(lately): // most calls fail, not all
+			g.struck, g.back = true, now
 		}
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -73,6 +73,7 @@
 	struck    bool    // an outage was seen and the destination may still be cold
 	back      float64 // since when it answers again; never for not yet
 	proof     float64 // when the latest push that was delivered was sent
+	heard     float64 // last delivery
 	trial     float64 // no trial push before
 }
 
