Count silence from the first push since the last answer; keep lossy destinations flowing

Cause: with a tenth to a fifth of calls lost, each lost push set its endpoint aside, made it silent, or restarted the return budget.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,6 +29,7 @@
 	asideFixed = 1.0 // an endpoint set aside returns after this
 	asideRand  = 0.5 // and a random part of this
 	unusual    = 6.0 // silence of so many mean gaps is unusual
+	slowed     = 3.0 // and so many mean answer times
 	firstGap   = 0.5 // the gap taken as seen before there are any
 	kept       = 16  // samples kept of each kind
 	many       = 256 // pushes kept
@@ -462,13 +463,13 @@
 		g.ended = last(g.ended, mark{now, kind}, many)
 		if o.Result == Failed {
 			end.heard = now
-		} else {
+		} else if o.Result != TimedOut || end.heard < c.at { // one lost among answers says nothing
 			end.aside = now + asideFixed + asideRand*m.rng.float()
 		}
 		lately := g.ended[max(0, len(g.ended)-recent):]
-		bad := count(lately, broke)
+		bad, inRow := count(lately, broke), count(lately[max(0, len(lately)-2):], broke)
 		switch quiet := g.heard < c.at; {
-		case quiet && (bad > 1 || len(lately) == 1): // nothing was delivered while it was out
+		case quiet && inRow == min(2, len(lately)): // nothing was delivered while it was out
 			g.struck, g.back = true, never
 		case 2*bad >= len(lately): // most calls fail, not all
 			g.struck, g.back = true, now
@@ -476,12 +477,15 @@
 	}
 }
 
-// silent tells that an endpoint's silence is unusual, given the gaps seen before.
+// silent tells that an endpoint's silence is unusual, given the gaps and the answer times seen before. It is
+// counted from the first push since the last answer: an older one still out is lost alone.
 func (m *Module) silent(now float64, end *endpoint) bool {
-	if len(end.calls) == 0 {
-		return false
+	for _, c := range end.calls {
+		if c.at > end.heard {
+			return now-c.at > max(unusual*mean(end.gaps, firstGap), slowed*mean(end.lasted, firstGap))
+		}
 	}
-	return now-max(end.heard, end.calls[0].at) > unusual*mean(end.gaps, firstGap)
+	return false
 }
 
 // patience is a push's time-out, by the answer times last seen.
