No turn is lost while all slots are out; retries keep their place; trace tests

Cause: with every slot out the pointer ran round and came back to the same destination, so one queue took turn after turn (found by the trace test of turns).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -78,7 +78,7 @@
 	h, known := m.held[ntf.ID]
 	d := m.dest(ntf.Dest)
 	if !known {
-		h = &held{Notification: ntf, topic: m.topics[ntf.Topic], came: now, until: now + ntf.Left, mayRun: never}
+		h = &held{Notification: ntf, topic: m.topics[ntf.Topic], until: now + ntf.Left, mayRun: never}
 		if len(d.queue) >= m.bound() && !m.displace(now, d, h) {
 			return Answer{Do: Throttle, Ntf: h.ID, RetryIn: m.retryIn(now, d)}
 		}
@@ -86,7 +86,9 @@
 		if h.ordered() {
 			m.keys[h.Key] = append(m.keys[h.Key], h)
 		}
-		m.enqueue(d, h, len(d.queue))
+		m.taken++
+		h.order = m.taken
+		m.enqueue(d, h)
 		return Answer{}
 	}
 	if h.over || h.call != nil {
@@ -166,7 +168,7 @@
 	if m.hopeless(now, d, h) {
 		return m.giveUp(now, d, h)
 	}
-	m.enqueue(d, h, 0)
+	m.enqueue(d, h)
 	return Answer{}
 }
 
@@ -191,9 +193,16 @@
 	return min(next, when) - now, ""
 }
 
-// turn moves the pointer to the destination whose head may leave; where none may, it tells when one could.
+// turn moves the pointer to the destination whose head may leave; where none may, it tells when one could. With
+// no slot free nobody loses a turn, and only a shared call can still be filled.
 func (m *Module) turn(now float64) (*held, float64) {
 	next := never
+	if m.out >= m.slots.Calls {
+		if m.pointer < len(m.round) && m.granted && m.round[m.pointer].deficit >= 1 {
+			return m.head(now, m.round[m.pointer])
+		}
+		return nil, never
+	}
 	for blocked := 0; blocked < len(m.round); {
 		if m.pointer >= len(m.round) {
 			m.pointer = 0
@@ -601,7 +610,12 @@
 	return nil
 }
 
-func (m *Module) enqueue(d *dest, h *held, at int) {
+// enqueue puts a notification in its place by the order in which all were taken.
+func (m *Module) enqueue(d *dest, h *held) {
+	at := len(d.queue)
+	for at > 0 && d.queue[at-1].order > h.order {
+		at--
+	}
 	d.queue = slices.Insert(d.queue, at, h)
 	if !d.inRound {
 		d.inRound = true
--- /dev/null
+++ b/decide/decide_test.go
@@ -0,0 +1,400 @@
+package decide_test
+
+import (
+	"fmt"
+
+	"orchiddrift/decide"
+	"orchiddrift/directory"
+)
+
+var (
+	ok      = decide.Outcome{Result: decide.Delivered}
+	full    = decide.Outcome{Result: decide.Throttled}
+	failed  = decide.Outcome{Result: decide.Failed}
+	late    = decide.Outcome{Result: decide.TimedOut, Latency: 4}
+	refused = decide.Outcome{Result: decide.NotConnected}
+)
+
+// One slot, a long queue and a short one: they take turns, and the short one is not behind the long one.
+func Example_turns() {
+	d := newDesk(1, 40, "A", "B")
+	d.take("reading", "A1", "A2", "A3", "A4", "B1", "B2")
+	for i, id := range []string{"A1", "B1", "A2", "B2", "A3", "A4"} {
+		d.at(float64(i) / 10)
+		d.ended(id[:1], ok, id)
+	}
+	// Output:
+	// 0.00  push A1 to A
+	// 0.10  push B1 to B
+	// 0.20  push A2 to A
+	// 0.30  push B2 to B
+	// 0.40  push A3 to A
+	// 0.50  push A4 to A
+}
+
+// The quantum follows the benefit: orders, worth three readings, leave three to one.
+func Example_weights() {
+	d := newDesk(1, 40, "A", "B")
+	d.take("reading", "A1", "A2", "A3")
+	d.take("order", "B1", "B2", "B3", "B4")
+	for i, id := range []string{"A1", "B1", "B2", "B3", "A2", "B4", "A3"} {
+		d.at(float64(i) / 10)
+		d.ended(id[:1], ok, id)
+	}
+	// Output:
+	// 0.00  push A1 to A
+	// 0.10  push B1 to B
+	// 0.20  push B2 to B
+	// 0.30  push B3 to B
+	// 0.40  push A2 to A
+	// 0.50  push B4 to B
+	// 0.60  push A3 to A
+}
+
+// A report of three tenths of ten a second is spent by three calls; with none out it is forgotten in time.
+func Example_allowance() {
+	d := newDesk(12, 40, "A")
+	d.take("order", "A1")
+	d.at(0)
+	d.ended("A", decide.Outcome{Result: decide.Delivered, Reported: true, Share: 0.3, Limit: 10}, "A1")
+	d.take("order", "A2", "A3", "A4", "A5")
+	d.at(0.1)
+	d.ended("A", decide.Outcome{Result: decide.Delivered, Reported: true, Share: 0.1, Limit: 10}, "A2", "A3", "A4")
+	d.take("reading", "A6")
+	d.at(0.2)
+	d.ended("A", decide.Outcome{Result: decide.Delivered, Reported: true, Share: 0, Limit: 10}, "A5")
+	d.waits()
+	d.at(0.31)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.10  push A2 to A
+	// 0.10  push A3 to A
+	// 0.10  push A4 to A
+	// 0.10  push A5 to A
+	// 0.20  wait 0.10
+	// 0.31  push A6 to A
+}
+
+// Low-benefit notifications leave a tenth of the limit alone.
+func Example_reserve() {
+	d := newDesk(12, 40, "A")
+	d.take("order", "A1")
+	d.at(0)
+	d.ended("A", decide.Outcome{Result: decide.Delivered, Reported: true, Share: 0.3, Limit: 10}, "A1")
+	d.take("reading", "A2", "A3", "A4")
+	d.take("order", "A5")
+	d.at(0.05)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.05  push A2 to A
+	// 0.05  push A3 to A
+	// 0.05  push A5 to A
+}
+
+// A told wait stops the whole destination, its other endpoint too; a refusal that tells none stops half a second.
+func Example_waits() {
+	d := newDesk(8, 40, "A", "Ab")
+	d.take("reading", "A1", "A2")
+	d.at(0)
+	d.ended("A", decide.Outcome{Result: decide.Throttled, Wait: 1.5}, "A1")
+	d.take("reading", "A3")
+	d.at(0.1)
+	d.ended("Ab", full, "A2")
+	d.waits()
+	d.at(1.5)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.00  push A2 to Ab
+	// 0.10  wait 1.40
+	// 1.50  push A1 to Ab
+	// 1.50  push A2 to A
+}
+
+// Of eight slots one destination gets six, and four after it failed; others still get theirs.
+func Example_cap() {
+	d := newDesk(8, 60, "A", "B")
+	d.take("reading", "A1", "A2", "A3", "A4", "A5", "A6", "A7")
+	d.at(0)
+	d.ended("A", ok, "A1", "A2", "A3", "A4", "A5", "A6")
+	d.at(0)
+	d.ended("A", refused, "A7")
+	d.at(2)
+	d.ended("A", refused, "A7")
+	d.at(5)
+	d.ended("A", ok, "A7")
+	d.take("reading", "A8", "A9", "Aa", "Ab", "Ac", "Ad")
+	d.take("reading", "B1")
+	d.at(14.9)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.00  push A2 to A
+	// 0.00  push A3 to A
+	// 0.00  push A4 to A
+	// 0.00  push A5 to A
+	// 0.00  push A6 to A
+	// 0.00  push A7 to A
+	// 2.00  push A7 to A
+	// 5.00  push A7 to A
+	// 14.90  push A8 to A
+	// 14.90  push B1 to B
+	// 14.90  push A9 to A
+	// 14.90  push Aa to A
+	// 14.90  push Ab to A
+}
+
+// What is unsent at its TTL is throttled; a last push ends with it, and a once-only one is then expired.
+func Example_nothingLost() {
+	d := newDesk(1, 40, "A", "B")
+	d.take("order", "A1")
+	d.at(0)
+	d.take("reading", "B1", "C1")
+	d.at(19.996)
+	d.ended("A", late, "A1")
+	// Output:
+	// 0.00  push A1 to A
+	// 20.00  throttle B1
+	// 20.00  throttle C1
+	// 20.00  expire A1
+}
+
+// Once-only is never pushed again unless no push can have run; collapsible only while the mark is remembered.
+func Example_noEffectTwice() {
+	d := newDesk(8, 40, "A", "B", "C")
+	d.take("order", "A1", "B2")
+	d.take("tally", "C1")
+	d.at(0)
+	d.ended("A", failed, "A1")
+	d.ended("B", refused, "B2")
+	d.at(4)
+	d.ended("C", late, "C1")
+	d.at(5)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.00  push B2 to B
+	// 0.00  push C1 to C
+	// 0.00  expire A1
+	// 4.00  push B2 to B
+	// 5.00  throttle C1
+}
+
+// Nothing new goes to an endpoint that drains or is gone; another takes over.
+func Example_drain() {
+	d := newDesk(8, 40, "A", "Ab")
+	d.list("A", "plain", directory.Draining)
+	d.take("reading", "A1", "A2")
+	d.at(0)
+	d.list("Ab", "plain", directory.Gone)
+	d.take("reading", "A3")
+	d.at(1)
+	// Output:
+	// 0.00  push A1 to Ab
+	// 0.00  push A2 to Ab
+}
+
+// After an outage one push at a time tries; an answer opens the way for what a cold destination can take.
+func Example_return() {
+	d := newDesk(12, 60, "A")
+	d.take("reading", "A1", "A2")
+	d.at(0)
+	d.ended("A", refused, "A1", "A2")
+	d.take("reading", "A3", "A4", "A5", "A6", "A7")
+	d.at(0.1)
+	d.at(2.6)
+	d.ended("A", ok, "A1")
+	d.at(2.7)
+	d.at(4)
+	d.at(4.7)
+	d.at(6)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.00  push A2 to A
+	// 2.60  push A1 to A
+	// 2.70  push A2 to A
+	// 2.70  push A3 to A
+	// 4.00  push A4 to A
+	// 4.70  push A5 to A
+	// 4.70  push A6 to A
+	// 4.70  push A7 to A
+}
+
+// Later orders of a key wait apart, also for the rest after a time-out, and hold up nobody else.
+func Example_order() {
+	d := newDesk(8, 40, "A", "B")
+	d.take("order", "A1", "B1b", "A2")
+	d.at(0)
+	d.ended("A", late, "A1")
+	d.at(0.5)
+	d.at(1)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.00  push A2 to A
+	// 0.00  expire A1
+	// 1.00  push B1b to B
+}
+
+// Pushes of one turn to one endpoint share a call: three in a call, one slot for them.
+func Example_sharedCall() {
+	d := newDesk(2, 40, "B")
+	d.list("A", "bulk", directory.Ready)
+	d.take("reading", "A1", "A2", "A3", "A4", "B1")
+	d.at(0)
+	d.ended("A", ok, "A1", "A2")
+	d.at(0.1)
+	d.ended("A", ok, "A3")
+	d.at(0.2)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.00  push A2 to A
+	// 0.00  push A3 to A
+	// 0.00  push B1 to B
+	// 0.20  push A4 to A
+}
+
+// Routes apart have waits of their own.
+func Example_routesApart() {
+	d := newDesk(8, 40)
+	d.list("A", "apart", directory.Ready)
+	d.list("Ab", "apart", directory.Ready)
+	d.take("reading", "A1")
+	d.at(0)
+	d.ended("A", decide.Outcome{Result: decide.Throttled, Wait: 5}, "A1")
+	d.at(0.1)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.10  push A1 to Ab
+}
+
+// Found on results-windhoek: refused destinations were sent their whole queue after each stop.
+func Example_pace() {
+	d := newDesk(12, 60, "A")
+	d.take("reading", "A1", "A2", "A3", "A4", "A5", "A6", "A7", "A8")
+	d.at(0)
+	d.ended("A", ok, "A1", "A2", "A3", "A4", "A5", "A6")
+	d.ended("A", full, "A7", "A8")
+	d.take("reading", "A9", "Aa", "Ab")
+	d.at(0.5)
+	d.at(0.7)
+	d.at(1)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.00  push A2 to A
+	// 0.00  push A3 to A
+	// 0.00  push A4 to A
+	// 0.00  push A5 to A
+	// 0.00  push A6 to A
+	// 0.00  push A7 to A
+	// 0.00  push A8 to A
+	// 0.50  push A7 to A
+	// 0.50  push A8 to A
+	// 1.00  push A9 to A
+	// 1.00  push Aa to A
+}
+
+// Found on hobart-relay: a dead destination filled the room. Its queue ends where as much room is left, and what
+// is worth least there makes way for what is worth more.
+func Example_room() {
+	d := newDesk(8, 8, "B")
+	d.take("reading", "A1", "A2", "A3", "A4", "A5")
+	d.take("order", "A6")
+	d.at(0)
+	d.take("reading", "B1")
+	d.at(0.1)
+	// Output:
+	// 0.00  throttle A5
+	// 0.00  throttle A1
+	// 0.10  push B1 to B
+}
+
+// Found on results-windhoek: time-outs of pushes older than a later delivery started a new outage.
+func Example_oldNews() {
+	d := newDesk(12, 60, "A", "Ab")
+	d.take("reading", "A1", "A2")
+	d.at(0)
+	d.take("reading", "A3")
+	d.at(0.2)
+	d.ended("A", ok, "A3")
+	d.at(4)
+	d.ended("Ab", late, "A1", "A2")
+	d.at(4.1)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.00  push A2 to Ab
+	// 0.20  push A3 to A
+	// 4.10  push A1 to A
+	// 4.10  push A2 to Ab
+}
+
+// Found on hobart-relay: with a few calls lost among many, the destination keeps all its turns.
+func Example_lossy() {
+	d := newDesk(12, 60, "A")
+	d.take("reading", "A1", "A2", "A3")
+	d.at(0)
+	d.ended("A", ok, "A1")
+	d.at(1)
+	d.ended("A", ok, "A2")
+	d.at(2)
+	d.ended("A", late, "A3")
+	d.take("reading", "A4", "A5")
+	d.at(2.1)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.00  push A2 to A
+	// 0.00  push A3 to A
+	// 2.10  push A3 to A
+	// 2.10  push A4 to A
+	// 2.10  push A5 to A
+}
+
+// Found on dar-delivery: several hung destinations together get no more than a quarter of the slots.
+func Example_lostSlots() {
+	d := newDesk(4, 60, "A", "B", "C")
+	d.take("reading", "A1", "B1")
+	d.at(0)
+	d.at(4)
+	d.ended("A", late, "A1")
+	d.ended("B", late, "B1")
+	d.at(6)
+	d.take("reading", "C1")
+	d.at(6.1)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.00  push B1 to B
+	// 6.00  push A1 to A
+	// 6.10  push C1 to C
+}
+
+// While its destination fails, a once-only notification waits for others to try it.
+func Example_onceOnlyCare() {
+	d := newDesk(8, 40, "A")
+	d.take("tally", "A1", "A2")
+	d.at(0)
+	d.ended("A", failed, "A1", "A2")
+	d.take("order", "A3")
+	d.at(1.6)
+	d.ended("A", ok, "A1")
+	d.at(2.1)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.00  push A2 to A
+	// 1.60  push A1 to A
+	// 2.10  push A2 to A
+}
+
+// A list that answers only when asked is asked for at start, and again some time after a failure.
+func Example_list() {
+	dir := directory.New()
+	m := decide.New(7, dir, topics, decide.Slots{Calls: 4, Held: 9}, decide.Routes{}, decide.Returns{},
+		decide.Pushes{Most: 8}, true)
+	for _, now := range []float64{0, 0.1, 0.2, 2.3} {
+		if now == 0.2 {
+			dir.Failed()
+		}
+		wait, id := m.Wait(now)
+		if wait <= 0 && id == "" {
+			fmt.Printf("%.1f  %s\n", now, words[m.Place(now, decide.Notification{}).Do])
+		}
+	}
+	// Output:
+	// 0.0  watch the list
+	// 2.3  watch the list
+}
--- /dev/null
+++ b/decide/helpers_test.go
@@ -0,0 +1,96 @@
+package decide_test
+
+import (
+	"fmt"
+
+	"orchiddrift/decide"
+	"orchiddrift/directory"
+)
+
+// desk plays the adapter for one module and prints what is decided.
+type desk struct {
+	m    *decide.Module
+	dir  *directory.Directory
+	hand map[string]decide.Notification
+	now  float64
+}
+
+var topics = []decide.Topic{
+	{Name: "reading", Repeat: decide.Repeatable, Group: "all", Objective: 2, TTL: 20, Benefit: 1, LateBenefit: 0.4},
+	{Name: "tally", Repeat: decide.Collapsible, Memory: 5, Group: "all", Objective: 2, TTL: 20, Benefit: 1},
+	{Name: "order", Repeat: decide.OnceOnly, Group: "all", Objective: 2, TTL: 20, Benefit: 3, LateBenefit: 0.4,
+		Ordered: true},
+}
+
+// newDesk starts a module with so many slots and so much room, and endpoints written "id:destination".
+func newDesk(slots, room int, ends ...string) *desk {
+	d := &desk{dir: directory.New(), hand: map[string]decide.Notification{}, now: 100}
+	d.m = decide.New(7, d.dir, topics, decide.Slots{Calls: slots, Held: room, Batch: map[string]int{"bulk": 3}},
+		decide.Routes{Apart: map[string]bool{"apart": true}},
+		decide.Returns{ColdFrom: 0.2, ColdSpan: 10, Multiple: 2, FallAfter: 2, Dispatchers: 2},
+		decide.Pushes{Most: 8, Settle: 1, Tick: 0.005}, false)
+	for _, e := range ends {
+		d.list(e, "plain", directory.Ready)
+	}
+	return d
+}
+
+func (d *desk) list(id, kind, stage string) {
+	d.dir.Change([]directory.Endpoint{{ID: id, Kind: kind, Dest: id[:1], Stage: stage, Rate: 10}})
+}
+
+// take hands in notifications named by topic and destination: "order A1 A2".
+func (d *desk) take(topic string, ids ...string) {
+	for _, id := range ids {
+		ntf := decide.Notification{ID: id, Topic: topic, Dest: id[:1], Left: 20}
+		if topic == "order" {
+			ntf.Key = id[1:2]
+		}
+		d.hand[id] = ntf
+		d.print(d.m.Place(d.now, ntf))
+	}
+}
+
+// at moves the clock on and lets all go whose turn has come.
+func (d *desk) at(now float64) {
+	d.now = 100 + now
+	for range 100 {
+		wait, id := d.m.Wait(d.now)
+		if wait > 0 {
+			return
+		}
+		d.print(d.m.Place(d.now, d.hand[id]))
+	}
+	fmt.Println("turns without end")
+}
+
+// waits prints how long the module would wait.
+func (d *desk) waits() {
+	wait, _ := d.m.Wait(d.now)
+	fmt.Printf("%6.2f  wait %.2f\n", d.now-100, wait)
+}
+
+// ended reports an outcome for pushes to an endpoint.
+func (d *desk) ended(end string, o decide.Outcome, ids ...string) {
+	for _, id := range ids {
+		o.Ntf, o.Endpoint = id, end
+		o.Over = o.Result == decide.Delivered
+		if o.Latency == 0 {
+			o.Latency = 0.1
+		}
+		d.print(d.m.After(d.now, o))
+	}
+}
+
+var words = map[decide.Do]string{decide.Push: "push", decide.Throttle: "throttle", decide.Expire: "expire",
+	decide.Watch: "watch the list"}
+
+func (d *desk) print(a decide.Answer) {
+	switch a.Do {
+	case decide.Hold:
+	case decide.Push:
+		fmt.Printf("%6.2f  push %s to %s\n", d.now-100, a.Ntf, a.Endpoint)
+	default:
+		fmt.Printf("%6.2f  %s %s\n", d.now-100, words[a.Do], a.Ntf)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -24,6 +24,7 @@
 	pointer int
 	granted bool
 	out     int
+	taken   int // notifications taken so far
 }
 
 // held is a notification taken and not yet done with.
@@ -31,7 +32,7 @@
 	Notification
 	topic    Topic
 	until    float64 // its TTL ends
-	came     float64
+	order    int     // in which all were taken
 	pushes   int
 	call     *call   // the push out, nil for none
 	mayRun   float64 // when the first push that may have run was sent; never for none
