--- a/decide/helpers_test.go
+++ b/decide/helpers_test.go
@@ -67,7 +67,7 @@
 // waits prints how long the module would wait.
 func (d *desk) waits() {
 	wait, _ := d.m.Wait(d.now)
-	fmt.Printf("%6.2f  wait %.2f\n", d.now-100, wait)
+	fmt.Printf("%.2f  wait %.2f\n", d.now-100, wait)
 }
 
 // ended reports an outcome for pushes to an endpoint.
@@ -89,8 +89,8 @@
 	switch a.Do {
 	case decide.Hold:
 	case decide.Push:
-		fmt.Printf("%6.2f  push %s to %s\n", d.now-100, a.Ntf, a.Endpoint)
+		fmt.Printf("%.2f  push %s to %s\n", d.now-100, a.Ntf, a.Endpoint)
 	default:
-		fmt.Printf("%6.2f  %s %s\n", d.now-100, words[a.Do], a.Ntf)
+		fmt.Printf("%.2f  %s %s\n", d.now-100, words[a.Do], a.Ntf)
 	}
 }
