Once-only waits only where others in its queue can try

Cause: a struck destination whose queue held once-only notifications alone kept them to their TTL; told apart from pace and budget by a trace of what held each queue. Now also a quarter of the last outcomes must have harmed.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -269,7 +269,7 @@
 		if m.silent(now, end) {
 			continue
 		}
-		when := max(m.opens(now, *e, h), end.aside)
+		when := max(m.opens(now, d, *e, h), end.aside)
 		if when > now {
 			next = min(next, when)
 			continue
@@ -288,7 +288,7 @@
 }
 
 // opens tells when the throttle of an endpoint lets h start: now or earlier, a time, or never (an outcome first).
-func (m *Module) opens(now float64, e directory.Endpoint, h *held) float64 {
+func (m *Module) opens(now float64, d *dest, e directory.Endpoint, h *held) float64 {
 	g := m.gate(e)
 	if g.stop > now {
 		return g.stop
@@ -309,7 +309,7 @@
 		}
 		return never
 	}
-	if m.cares(now, g, h) {
+	if m.cares(d, g, h) {
 		return now + asideFixed
 	}
 	return max(m.budget(now, e, g), m.pace(now, e, g))
@@ -407,11 +407,15 @@
 }
 
 // cares tells that a once-only notification had better wait: its destination fails, and another can try it.
-func (m *Module) cares(now float64, g *gate, h *held) bool {
+func (m *Module) cares(d *dest, g *gate, h *held) bool {
 	if h.topic.Repeat != OnceOnly || !g.struck {
 		return false
 	}
-	return count(g.ended[max(0, len(g.ended)-recent):], harmed) > 0
+	lately := g.ended[max(0, len(g.ended)-recent):]
+	if g.back != never && 4*count(lately, harmed) < len(lately) {
+		return false
+	}
+	return slices.ContainsFunc(d.queue, func(x *held) bool { return x.topic.Repeat != OnceOnly })
 }
 
 // count tells how many outcomes were of a kind, or worse.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -378,6 +378,27 @@
 	// 0.00  push A2 to A
 	// 1.60  push A1 to A
 	// 2.10  push A2 to A
+	// 2.10  push A3 to A
+}
+
+// Found on hobart-relay: with only once-only queued nobody else could try, and all waited to their TTL.
+func Example_onceOnlyAlone() {
+	d := newDesk(8, 40, "A")
+	d.take("tally", "A1", "A2")
+	d.take("order", "A3")
+	d.at(0)
+	d.ended("A", failed, "A1", "A2")
+	d.ended("A", ok, "A3")
+	d.take("order", "A4")
+	d.at(1.6)
+	d.ended("A", ok, "A1", "A2")
+	d.at(1.7)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.00  push A2 to A
+	// 0.00  push A3 to A
+	// 1.60  push A1 to A
+	// 1.60  push A2 to A
 }
 
 // A list that answers only when asked is asked for at start, and again some time after a failure.
