--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,7 +41,7 @@
 	lostPart   = 4   // destinations that do not answer get one slot in so many, together
 	careful    = 0.8 // the part of a return budget that is spent
 	rough      = 1.5 // a rough rate may be so many times too high
-	patience   = 8.0 // times the mean answer time a push is waited for
+	patience   = 5.0 // times the mean answer time a push is waited for
 	leastWait  = 0.5 // but this many objectives at least
 	mostWait   = 2.0 // and at most
 	askAgain   = 1.0
@@ -121,7 +121,7 @@
 	g.trial = now + asideFixed + asideRand*m.rng.float()
 	h.pushes++
 	h.lastSent = now
-	return Answer{Do: Push, Ntf: h.ID, Endpoint: e.ID, Timeout: min(m.patience(end, h), h.until-now)}
+	return Answer{Do: Push, Ntf: h.ID, Endpoint: e.ID, Timeout: min(m.patience(g, end, h), h.until-now)}
 }
 
 // After takes in how a push ended and tells what becomes of its notification.
@@ -463,9 +463,6 @@
 			g.struck, g.back = true, never
 		}
 	case Failed, TimedOut, NotConnected, Reset:
-		if o.Result == TimedOut {
-			end.lasted = last(end.lasted, o.Latency, kept)
-		}
 		if c.at < g.proof { // old news: a later push was answered
 			return
 		}
@@ -502,8 +499,11 @@
 }
 
 // patience is a push's time-out, by the answer times last seen.
-func (m *Module) patience(end *endpoint, h *held) float64 {
+func (m *Module) patience(g *gate, end *endpoint, h *held) float64 {
 	aim := h.topic.Objective
+	if g.struck && g.back == never {
+		return mostWait * aim
+	}
 	wait := min(max(leastWait*aim, patience*mean(end.lasted, firstGap)), mostWait*aim)
 	if h.topic.Repeat == OnceOnly {
 		wait *= 2
