--- a/decide/decide.go
+++ b/decide/decide.go
@@ -463,9 +463,10 @@
 			g.struck, g.back = true, never
 		}
 	case Failed, TimedOut, NotConnected, Reset:
-		if c.at < g.proof { // old news: a later push was answered
+		if c.judged || c.at < g.proof { // one fate for all in a call; old news where a later push was answered
 			return
 		}
+		c.judged = true
 		kind := harmed
 		if o.Result == NotConnected {
 			kind = broke
--- a/decide/state.go
+++ b/decide/state.go
@@ -48,8 +48,9 @@
 	end    *endpoint
 	gate   *gate
 	at     float64
-	size   int // notifications sent in it
-	riders int // of them without outcome
+	size   int  // notifications sent in it
+	riders int  // of them without outcome
+	judged bool // its failure was counted
 }
 
 // dest is a destination's queue.
