Hurried notifications: their time-outs are no evidence, and they go first

Pushes cut short made outages of healthy destinations, and the rest waited behind others. Should also cover retries with little left and clients with short time-outs; could harm where nearly all are hurried, as failures then show late.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -121,7 +121,9 @@
 	g.trial = now + asideFixed + asideRand*m.rng.float()
 	h.pushes++
 	h.lastSent = now
-	return Answer{Do: Push, Ntf: h.ID, Endpoint: e.ID, Timeout: min(m.patience(g, end, h), h.until-now)}
+	wait := m.patience(g, end, h)
+	h.call.hurried = h.until-now < wait
+	return Answer{Do: Push, Ntf: h.ID, Endpoint: e.ID, Timeout: min(wait, h.until-now)}
 }
 
 // After takes in how a push ended and tells what becomes of its notification.
@@ -463,6 +465,9 @@
 			g.struck, g.back = true, never
 		}
 	case Failed, TimedOut, NotConnected, Reset:
+		if c.hurried && o.Result == TimedOut { // it had little time left: its end says nothing of the endpoint
+			return
+		}
 		if c.judged || c.at < g.proof { // one fate for all in a call; old news where a later push was answered
 			return
 		}
@@ -553,9 +558,12 @@
 	return least.shed
 }
 
+// due is when the objective ends.
+func (h *held) due() float64 { return h.until - h.topic.TTL + h.topic.Objective }
+
 // worth is the benefit of a notification delivered now.
 func (h *held) worth(now float64) float64 {
-	late := now - (h.until - h.topic.TTL + h.topic.Objective)
+	late := now - h.due()
 	share := 1 - (1-h.topic.LateBenefit)*max(0, late)/max(h.topic.TTL-h.topic.Objective, 1e-9)
 	return h.topic.Benefit * share
 }
@@ -615,10 +623,11 @@
 	return nil
 }
 
-// enqueue puts a notification in its place by the order in which all were taken.
+// enqueue puts a notification in its place: by the end of its objective, then by the order taken. So a client
+// that leaves little time, or comes again, is not behind those who have all of theirs.
 func (m *Module) enqueue(d *dest, h *held) {
 	at := len(d.queue)
-	for at > 0 && d.queue[at-1].order > h.order {
+	for at > 0 && (d.queue[at-1].due() > h.due() || d.queue[at-1].due() == h.due() && d.queue[at-1].order > h.order) {
 		at--
 	}
 	d.queue = slices.Insert(d.queue, at, h)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -401,6 +401,32 @@
 	// 1.60  push A2 to A
 }
 
+// Found on hobart-relay: clients that leave half a second. Their pushes' ends tell nothing of the endpoint, and
+// they go before those who have time.
+func Example_hurried() {
+	d := newDesk(2, 40, "A")
+	for i, id := range []string{"A1", "A2", "A3"} {
+		d.at(float64(i))
+		d.hand[id] = decide.Notification{ID: id, Topic: "order", Dest: "A", Left: 0.5}
+		d.print(d.m.Place(d.now, d.hand[id]))
+		d.at(float64(i))
+		d.at(float64(i) + 0.5)
+		d.ended("A", late, id)
+	}
+	d.take("reading", "A4", "A5")
+	d.hand["A6"] = decide.Notification{ID: "A6", Topic: "reading", Dest: "A", Left: 0.5}
+	d.print(d.m.Place(d.now, d.hand["A6"]))
+	d.at(2.6)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.50  expire A1
+	// 1.00  push A2 to A
+	// 1.50  expire A2
+	// 2.00  push A3 to A
+	// 2.50  expire A3
+	// 2.60  push A6 to A
+}
+
 // A list that answers only when asked is asked for at start, and again some time after a failure.
 func Example_list() {
 	dir := directory.New()
--- a/decide/state.go
+++ b/decide/state.go
@@ -45,12 +45,13 @@
 
 // call is a call out, shared by the notifications of one turn.
 type call struct {
-	end    *endpoint
-	gate   *gate
-	at     float64
-	size   int  // notifications sent in it
-	riders int  // of them without outcome
-	judged bool // its failure was counted
+	end     *endpoint
+	gate    *gate
+	at      float64
+	size    int  // notifications sent in it
+	riders  int  // of them without outcome
+	judged  bool // its failure was counted
+	hurried bool // its time-out was cut to the time left
 }
 
 // dest is a destination's queue.
