--- a/cmd/simhost/boot.go
+++ b/cmd/simhost/boot.go
@@ -44,8 +44,8 @@
 		decide.Returns{ColdFrom: s.Float("guarantees.cold-from"), ColdSpan: s.Seconds("guarantees.cold-ms"),
 			Multiple: s.Float("guarantees.overload-factor"), FallAfter: s.Seconds("guarantees.fall-ms"),
 			Dispatchers: s.Int("balancers"), Rough: s.Text("weight-kind") == "rough"},
-		decide.Pushes{Most: s.Int("policy-limits.max-attempts"), Settle: s.FloatOr("guarantees.turn-gap-ms", 0) / 1000,
-			Tick: s.Seconds("tick-ms")},
+		decide.Pushes{Most: s.Int("policy-limits.max-attempts"),
+			Settle: s.FloatOr("guarantees.turn-gap-ms", 0) / 1000, Tick: s.Seconds("tick-ms")},
 		s.Text("membership-mode") == "ask")
 	if s.Err() != nil {
 		return nil, s.Err()
--- a/cmd/simhost/events.go
+++ b/cmd/simhost/events.go
@@ -140,7 +140,8 @@
 		x.finish(o.Ntf)
 	case "PROBE_RESULT":
 		report := f.report(3, "telemetry")
-		o := decide.Outcome{Endpoint: f.text(0, "endpoint"), Result: result(f, 1), Latency: f.seconds(2, "latency-ms")}
+		o := decide.Outcome{Endpoint: f.text(0, "endpoint"), Result: result(f, 1),
+			Latency: f.seconds(2, "latency-ms")}
 		_, o.Reported = report["x0"]
 		o.Share, o.Limit = report["x0"], report["x1"]
 		if f.err != nil {
@@ -204,7 +205,8 @@
 		e := directory.Endpoint{ID: m.text(0, "endpoint"), Zone: line.Optional(1), Kind: line.Optional(2),
 			Dest: m.text(3, "cell"), Stage: m.text(4, "stage-state"), Rate: m.float(5, "capacity-hint")}
 		m.float(6, "ready-at-ms")
-		if e.Stage != directory.Ready && e.Stage != directory.Draining && e.Stage != directory.Gone && m.err == nil {
+		known := e.Stage == directory.Ready || e.Stage == directory.Draining || e.Stage == directory.Gone
+		if !known && m.err == nil {
 			m.err = line.Bad("stage-state", e.Stage)
 		}
 		if m.err != nil {
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -12,7 +12,8 @@
 
 func main() {
 	out := bufio.NewWriterSize(os.Stdout, 1<<20)
-	h := &host{in: simwire.NewReader(os.Stdin), out: out, lists: map[int64][]directory.Endpoint{}, instances: map[int64]*instance{}}
+	h := &host{in: simwire.NewReader(os.Stdin), out: out, lists: map[int64][]directory.Endpoint{},
+		instances: map[int64]*instance{}}
 	if err := h.run(); err != nil {
 		out.Flush()
 		fmt.Fprintln(os.Stderr, "simhost:", err)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -6,7 +6,7 @@
 // The ordinary path of a notification is Place, top to bottom; turns and allowances are DESIGN's.
 //
 // Beside the design stand six mechanisms:
-//  1. silence: an endpoint unusually silent, or that broke a push, is set aside for a fixed time and a random part
+//  1. silence: an endpoint unusually silent, or that broke a push, is set aside: a fixed time, a random part
 //  2. return budget: a destination that failed gets one push at a time, then no more than a cold one can take
 //  3. once-only care: once-only notifications wait while their destination fails and others can try it
 //  4. patience: time-outs follow the answer times last seen
@@ -195,8 +195,8 @@
 	return min(next, when) - now, ""
 }
 
-// turn moves the pointer to the destination whose head may leave; where none may, it tells when one could. With
-// no slot free nobody loses a turn, and only a shared call can still be filled.
+// turn moves the pointer to the destination whose head may leave; where none may, it tells when one could.
+// With no slot free nobody loses a turn, and only a shared call can still be filled.
 func (m *Module) turn(now float64) (*held, float64) {
 	next := never
 	if m.out >= m.slots.Calls {
@@ -289,7 +289,7 @@
 	return best, next
 }
 
-// opens tells when the throttle of an endpoint lets h start: now or earlier, a time, or never (an outcome first).
+// opens tells when the throttle of an endpoint lets h start: by now, at a time, or never (an outcome first).
 func (m *Module) opens(now float64, d *dest, e directory.Endpoint, h *held) float64 {
 	g := m.gate(e)
 	if g.stop > now {
@@ -317,7 +317,7 @@
 	return max(m.budget(now, e, g), m.pace(now, e, g))
 }
 
-// forgets tells how long the allowance is kept with no call out: a second, or what the limit takes for a call.
+// forgets tells how long the allowance is kept with no call out: a second, or what the limit takes a call.
 func (m *Module) forgets(g *gate) float64 {
 	if g.limit > 0 {
 		return min(forget, 1/g.limit)
@@ -334,8 +334,8 @@
 	return max(1, m.slots.Calls*3/4)
 }
 
-// budget tells when a struck destination may get its next push. Before it answers again that is one at a time,
-// spaced with a random part; then what it can take while it warms, shared among the dispatchers.
+// budget tells when a struck destination may get its next push. Before it answers again that is one at a
+// time, spaced with a random part; then what it can take while it warms, shared among the dispatchers.
 func (m *Module) budget(now float64, e directory.Endpoint, g *gate) float64 {
 	if g.struck && g.back+m.returns.ColdSpan < now {
 		g.struck = false
@@ -354,7 +354,7 @@
 	return m.window(now, g, rate, m.returns.FallAfter)
 }
 
-// lost counts the calls out to destinations that do not answer. It guards the slots when several hang at once.
+// lost counts the calls out to destinations that do not answer. It guards the slots when several hang.
 func (m *Module) lost() int {
 	n := 0
 	for _, g := range m.gates {
@@ -376,9 +376,9 @@
 	return e.Rate
 }
 
-// pace tells when the next push may go where pushes were refused: what was taken before the last refusal, or an
-// even share of the told rate, is kept to at first and then slowly passed. It guards against the others' use of
-// a limit, limits lowered without a report, and refusals that use up the limit.
+// pace tells when the next push may go where pushes were refused: what was taken before the last refusal,
+// or an even share of the told rate, is kept to at first and then slowly passed. It guards against the others'
+// use of a limit, limits lowered without a report, and refusals that use up the limit.
 func (m *Module) pace(now float64, e directory.Endpoint, g *gate) float64 {
 	if now-g.full > 1/climb {
 		return now
@@ -528,7 +528,8 @@
 	if h.mayRun == never {
 		return false
 	}
-	return h.topic.Repeat == OnceOnly || h.topic.Repeat == Collapsible && now > h.mayRun+h.topic.Memory-m.pushes.Tick
+	forgotten := now > h.mayRun+h.topic.Memory-m.pushes.Tick
+	return h.topic.Repeat == OnceOnly || h.topic.Repeat == Collapsible && forgotten
 }
 
 // giveUp ends a notification: throttled where it may safely come again, else expired.
@@ -536,7 +537,8 @@
 	h.over = true
 	m.leave(d, h)
 	m.settle(now, h)
-	if h.mayRun == never || h.topic.Repeat == Repeatable || h.topic.Repeat == Collapsible && h.topic.Group == "all" {
+	known := h.topic.Repeat == Collapsible && h.topic.Group == "all"
+	if h.mayRun == never || h.topic.Repeat == Repeatable || known {
 		return Answer{Do: Throttle, Ntf: h.ID, RetryIn: m.retryIn(now, d)}
 	}
 	return Answer{Do: Expire, Ntf: h.ID}
@@ -604,7 +606,8 @@
 	if !h.ordered() {
 		return
 	}
-	left := slices.DeleteFunc(m.keys[h.Key], func(x *held) bool { return x.over && x.call == nil && x.rest <= now })
+	rested := func(x *held) bool { return x.over && x.call == nil && x.rest <= now }
+	left := slices.DeleteFunc(m.keys[h.Key], rested)
 	if len(left) == 0 {
 		delete(m.keys, h.Key)
 	} else {
@@ -627,8 +630,10 @@
 // that leaves little time, or comes again, is not behind those who have all of theirs.
 func (m *Module) enqueue(d *dest, h *held) {
 	at := len(d.queue)
-	for at > 0 && (d.queue[at-1].due() > h.due() || d.queue[at-1].due() == h.due() && d.queue[at-1].order > h.order) {
-		at--
+	for ; at > 0; at-- {
+		if x := d.queue[at-1]; x.due() < h.due() || x.due() == h.due() && x.order < h.order {
+			break
+		}
 	}
 	d.queue = slices.Insert(d.queue, at, h)
 	if !d.inRound {
