What comes beyond a tenant's share makes way first in a full queue

Should also cover runaway clients; could harm a tenant whose traffic comes mostly to one dispatcher.

--- a/cmd/simhost/boot.go
+++ b/cmd/simhost/boot.go
@@ -37,6 +37,11 @@
 			fee[zones[i]] = f
 		}
 	}
+	shares := decide.Shares{Rate: map[string]float64{}, Beyond: s.FloatOr("over-share-worth", 1)}
+	for i := range int(s.FloatOr("tenants.count", 0)) {
+		at := fmt.Sprintf("tenants.%d.", i)
+		shares.Rate[s.Text(at+"name")] = s.Float(at + "quota-rps")
+	}
 	dir := directory.New()
 	m := decide.New(seed, dir, topics(s),
 		decide.Slots{Calls: s.Int("family-info.max-calls"), Held: s.Int("policy-limits.most-held"), Batch: batch},
@@ -46,7 +51,7 @@
 			Dispatchers: s.Int("balancers"), Rough: s.Text("weight-kind") == "rough"},
 		decide.Pushes{Most: s.Int("policy-limits.max-attempts"),
 			Settle: s.FloatOr("guarantees.turn-gap-ms", 0) / 1000, Tick: s.Seconds("tick-ms")},
-		s.Text("membership-mode") == "ask")
+		shares, s.Text("membership-mode") == "ask")
 	if s.Err() != nil {
 		return nil, s.Err()
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -22,28 +22,29 @@
 )
 
 const (
-	quantum    = 1.0 // deficit earned on a visit, times the destination's weight
-	reserve    = 0.1 // share of the limit that low-benefit topic types leave alone
-	fullStop   = 0.5 // stop after a refusal that tells no wait
-	forget     = 1.0 // the allowance is forgotten after so long with no call out
-	asideFixed = 1.0 // an endpoint set aside returns after this
-	asideRand  = 0.5 // and a random part of this
-	unusual    = 6.0 // silence of so many mean gaps is unusual
-	slowed     = 3.0 // and so many mean answer times
-	firstGap   = 0.5 // the gap taken as seen before there are any
-	kept       = 16  // samples kept of each kind
-	many       = 256 // pushes kept
-	recent     = 8   // outcomes that health is read from
-	shutAfter  = 2.0 // refusals for so long with no delivery are an outage, not a limit
-	broke      = 1.0 // mark of a push that broke and never ran
-	harmed     = 2.0 // mark of one that broke and may have run
-	rider      = 0.25
-	lostPart   = 4   // destinations that do not answer get one slot in so many, together
-	careful    = 0.8 // the part of a return budget that is spent
-	rough      = 1.5 // a rough rate may be so many times too high
-	patience   = 5.0 // times the mean answer time a push is waited for
-	leastWait  = 0.5 // but this many objectives at least
-	mostWait   = 2.0 // and at most
+	quantum    = 1.0  // deficit earned on a visit, times the destination's weight
+	reserve    = 0.1  // share of the limit that low-benefit topic types leave alone
+	fullStop   = 0.5  // stop after a refusal that tells no wait
+	forget     = 1.0  // the allowance is forgotten after so long with no call out
+	asideFixed = 1.0  // an endpoint set aside returns after this
+	asideRand  = 0.5  // and a random part of this
+	unusual    = 6.0  // silence of so many mean gaps is unusual
+	slowed     = 3.0  // and so many mean answer times
+	firstGap   = 0.5  // the gap taken as seen before there are any
+	kept       = 16   // samples kept of each kind
+	many       = 256  // pushes kept
+	recent     = 8    // outcomes that health is read from
+	shutAfter  = 2.0  // refusals for so long with no delivery are an outage, not a limit
+	broke      = 1.0  // mark of a push that broke and never ran
+	harmed     = 2.0  // mark of one that broke and may have run
+	rider      = 0.25 // of a push: what each further notification in a call weighs
+	lostPart   = 4    // destinations that do not answer get one slot in so many, together
+	careful    = 0.8  // the part of a return budget that is spent
+	rough      = 1.5  // a rough rate may be so many times too high
+	patience   = 5.0  // times the mean answer time a push is waited for
+	leastWait  = 0.5  // but this many objectives at least
+	mostWait   = 2.0  // and at most
+	shareSpan  = 5.0  // what a tenant asks is read over this
 	askAgain   = 1.0
 	paceSpan   = 0.5  // a pace is kept over each such span
 	takenSpan  = 2.0  // what a destination takes is read over this span before a refusal
@@ -55,10 +56,11 @@
 
 // New returns a module with no notifications, started from the wire's seed.
 func New(seed uint64, dir *directory.Directory, topics []Topic, slots Slots, routes Routes, returns Returns,
-	pushes Pushes, ask bool) *Module {
+	pushes Pushes, shares Shares, ask bool) *Module {
 	m := &Module{rng: pcg{state: seed}, dir: dir, topics: map[string]Topic{}, slots: slots, routes: routes,
-		returns: returns, pushes: pushes, ask: ask, held: map[string]*held{}, keys: map[string][]*held{},
-		dests: map[string]*dest{}, gates: map[string]*gate{}, ends: map[string]*endpoint{}}
+		returns: returns, pushes: pushes, shares: shares, ask: ask,
+		held: map[string]*held{}, keys: map[string][]*held{}, dests: map[string]*dest{}, gates: map[string]*gate{}, ends: map[string]*endpoint{},
+		asked: map[string][]float64{}}
 	if !ask {
 		m.nextAsk = never
 	}
@@ -79,6 +81,7 @@
 	d := m.dest(ntf.Dest)
 	if !known {
 		h = &held{Notification: ntf, topic: m.topics[ntf.Topic], until: now + ntf.Left, mayRun: never}
+		h.beyond = ntf.Left > h.topic.TTL-m.pushes.Tick && m.beyond(now, ntf.Tenant)
 		if len(d.queue) >= m.bound() && !m.displace(now, d, h) {
 			return Answer{Do: Throttle, Ntf: h.ID, RetryIn: m.retryIn(now, d)}
 		}
@@ -377,7 +380,7 @@
 }
 
 // pace tells when the next push may go where pushes were refused: what was taken before the last refusal,
-// or an even share of the told rate, is kept to at first and then slowly passed. It guards against the others'
+// or an even share of the told rate, is kept to at first and then slowly passed. It guards against others'
 // use of a limit, limits lowered without a report, and refusals that use up the limit.
 func (m *Module) pace(now float64, e directory.Endpoint, g *gate) float64 {
 	if now-g.full > 1/climb {
@@ -552,7 +555,7 @@
 func (m *Module) displace(now float64, d *dest, h *held) bool {
 	least := h
 	for _, x := range d.queue {
-		if !x.shed && x.worth(now) < least.worth(now) {
+		if !x.shed && m.worth(now, x) < m.worth(now, least) {
 			least = x
 		}
 	}
@@ -564,12 +567,25 @@
 func (h *held) due() float64 { return h.until - h.topic.TTL + h.topic.Objective }
 
 // worth is the benefit of a notification delivered now.
-func (h *held) worth(now float64) float64 {
+func (m *Module) worth(now float64, h *held) float64 {
 	late := now - h.due()
 	share := 1 - (1-h.topic.LateBenefit)*max(0, late)/max(h.topic.TTL-h.topic.Objective, 1e-9)
+	if h.beyond {
+		share *= m.shares.Beyond
+	}
 	return h.topic.Benefit * share
 }
 
+// beyond tells that a tenant asks more than this dispatcher's part of its share, which is worth little. It
+// guards the others' room in bursts; retries, known by the time they have left, belong to their first try.
+func (m *Module) beyond(now float64, tenant string) bool {
+	part := shareSpan * m.shares.Rate[tenant] / float64(max(1, m.returns.Dispatchers))
+	part += 2 * math.Sqrt(part) // beyond what chance alone brings
+	asked := last(m.asked[tenant], now, many)
+	m.asked[tenant] = asked
+	return part > 0 && len(asked) > int(part) && asked[len(asked)-1-int(part)] > now-shareSpan
+}
+
 // retryIn tells a client when there is likely room again.
 func (m *Module) retryIn(now float64, d *dest) float64 {
 	wait := forget
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -427,11 +427,27 @@
 	// 2.60  push A6 to A
 }
 
+// Found on dar-delivery: one tenant asked far beyond its share. Its tenth in five seconds makes way, not the others.
+func Example_beyondShare() {
+	d := newDesk(1, 20, "B")
+	for _, n := range "123456789" {
+		ntf := decide.Notification{ID: "A" + string(n), Topic: "reading", Dest: "A", Tenant: "big", Left: 20}
+		d.hand[ntf.ID] = ntf
+		d.print(d.m.Place(d.now, ntf))
+	}
+	d.hand["Ax"] = decide.Notification{ID: "Ax", Topic: "reading", Dest: "A", Tenant: "big", Left: 20}
+	d.print(d.m.Place(d.now, d.hand["Ax"]))
+	d.take("reading", "Ay")
+	d.at(0.1)
+	// Output:
+	// 0.10  throttle Ax
+}
+
 // A list that answers only when asked is asked for at start, and again some time after a failure.
 func Example_list() {
 	dir := directory.New()
 	m := decide.New(7, dir, topics, decide.Slots{Calls: 4, Held: 9}, decide.Routes{}, decide.Returns{},
-		decide.Pushes{Most: 8}, true)
+		decide.Pushes{Most: 8}, decide.Shares{}, true)
 	for _, now := range []float64{0, 0.1, 0.2, 2.3} {
 		if now == 0.2 {
 			dir.Failed()
--- a/decide/helpers_test.go
+++ b/decide/helpers_test.go
@@ -28,7 +28,8 @@
 	d.m = decide.New(7, d.dir, topics, decide.Slots{Calls: slots, Held: room, Batch: map[string]int{"bulk": 3}},
 		decide.Routes{Apart: map[string]bool{"apart": true}},
 		decide.Returns{ColdFrom: 0.2, ColdSpan: 10, Multiple: 2, FallAfter: 2, Dispatchers: 2},
-		decide.Pushes{Most: 8, Settle: 1, Tick: 0.005}, false)
+		decide.Pushes{Most: 8, Settle: 1, Tick: 0.005},
+		decide.Shares{Rate: map[string]float64{"big": 2}, Beyond: 0.05}, false)
 	for _, e := range ends {
 		d.list(e, "plain", directory.Ready)
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -12,9 +12,11 @@
 	routes  Routes
 	returns Returns
 	pushes  Pushes
-	ask     bool    // the list answers only when asked
-	heard   int     // updates heard when it was last asked
-	nextAsk float64 // when it is to be asked; never for not
+	shares  Shares
+	asked   map[string][]float64 // when each tenant's last notifications came
+	ask     bool                 // the list answers only when asked
+	heard   int                  // updates heard when it was last asked
+	nextAsk float64              // when it is to be asked; never for not
 	held    map[string]*held
 	keys    map[string][]*held
 	dests   map[string]*dest
@@ -39,6 +41,7 @@
 	zone     string  // where that push went
 	rest     float64 // its key rests until then once it is over
 	over     bool
+	beyond   bool // it came beyond its tenant's share
 	shed     bool // its place was taken by one worth more
 	lastSent float64
 }
--- a/decide/types.go
+++ b/decide/types.go
@@ -23,12 +23,6 @@
 	Ordered     bool    // notifications of one key go one at a time, in the order taken
 }
 
-// Tenant is a client with its share of the service.
-type Tenant struct {
-	Name string
-	Rate float64 // notifications a second within its share, over all dispatchers
-}
-
 // Notification is what the adapter hands to Place; the empty one asks for the module's own errands.
 type Notification struct {
 	ID     string
@@ -125,3 +119,9 @@
 	Settle float64 // the rest of a key after a push that may still run
 	Tick   float64 // the least time between two batches
 }
+
+// Shares says what tenants may ask, and what is left of the benefit beyond that.
+type Shares struct {
+	Rate   map[string]float64 // notifications a second, over all dispatchers
+	Beyond float64            // share of the benefit
+}
