--- a/cmd/simhost/host_test.go
+++ b/cmd/simhost/host_test.go
@@ -73,3 +73,13 @@
 	// line 3: NEW_INSTANCE: field tick-ms cannot be ""
 	// input ends within a batch
 }
+
+// A panic in the decisions is reported as the wire's fault action.
+func Example_fault() {
+	h := &host{out: bufio.NewWriter(os.Stdout), writing: none}
+	h.guarded(3, func() { panic("no such turn") })
+	h.out.Flush()
+	// Output:
+	// BY 3
+	// CRASH no such turn
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -58,9 +58,9 @@
 func New(seed uint64, dir *directory.Directory, topics []Topic, slots Slots, routes Routes, returns Returns,
 	pushes Pushes, shares Shares, ask bool) *Module {
 	m := &Module{rng: pcg{state: seed}, dir: dir, topics: map[string]Topic{}, slots: slots, routes: routes,
-		returns: returns, pushes: pushes, shares: shares, ask: ask,
-		held: map[string]*held{}, keys: map[string][]*held{}, dests: map[string]*dest{}, gates: map[string]*gate{}, ends: map[string]*endpoint{},
-		asked: map[string][]float64{}}
+		returns: returns, pushes: pushes, shares: shares, ask: ask, held: map[string]*held{},
+		keys: map[string][]*held{}, dests: map[string]*dest{}, gates: map[string]*gate{},
+		ends: map[string]*endpoint{}, asked: map[string][]float64{}}
 	if !ask {
 		m.nextAsk = never
 	}
