--- a/decide/decide.go
+++ b/decide/decide.go
@@ -10,7 +10,7 @@
 //  2. return budget: a destination that failed gets one push at a time, then no more than a cold one can take
 //  3. once-only care: once-only notifications wait while their destination fails and others can try it
 //  4. patience: time-outs follow the answer times last seen
-//  5. winnable: what can no longer be delivered is answered at once
+//  5. winnable: what cannot be delivered any more is answered at once; a full queue keeps what is worth most
 //  6. pace: after refusals a destination is sent what it lately took, then slowly more
 package decide
 
