Pace: less the share of late pushes refused; deliveries counted by gaps

One delivery in two seconds also passed for a rate of half a call a second. Change: the pace counts gaps between deliveries and loses the share of the last eight refused. Harm: a destination that refuses by chance is paced lower for eight pushes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -394,7 +394,8 @@
 
 // pace tells when the next push may go where pushes were refused: what was taken before the last refusal,
 // or an even share of the told rate, is kept to at first and then slowly passed. It guards against others'
-// use of a limit, limits lowered without a report, and refusals that use up the limit.
+// use of a limit, limits lowered without a report, and refusals that use up the limit: there a rate a little
+// above the limit gets next to nothing, so the share of late pushes that were refused comes off.
 func (m *Module) pace(now float64, d *dest, e directory.Endpoint, g *gate) float64 {
 	if now-g.full > 1/climb {
 		return now
@@ -409,7 +410,7 @@
 	if when := g.stop + g.phase*min(1/part, m.returns.FallAfter); when > now && g.tried < g.stop {
 		return when
 	}
-	base := easing * max(taken/takenSpan, part)
+	base := easing * max((taken-1)/takenSpan, part) * (1 - mean(g.turned, 0))
 	return m.window(now, g, base*(1+climb*(now-g.full)), paceSpan)
 }
 
@@ -454,6 +455,7 @@
 		end.heard = now
 		g.ended = last(g.ended, mark{now, 0}, many)
 		g.refused = never
+		g.turned = last(g.turned, 0, recent)
 		g.proof, g.heard = max(g.proof, c.at), now
 		if g.struck && g.back == never {
 			g.back = now
@@ -467,6 +469,7 @@
 		g.stop = max(g.stop, now+wait)
 		g.refused = min(g.refused, now)
 		g.full, g.phase = now, m.rng.float()
+		g.turned = last(g.turned, 1, recent)
 		if now+wait-g.refused > shutAfter {
 			m.strike(now, g)
 		}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -108,7 +108,6 @@
 	// 0.00  push A2 to Ab
 	// 0.10  wait 1.40
 	// 1.70  push A1 to Ab
-	// 1.70  push A2 to A
 }
 
 // Of eight slots one destination gets six, and four after it failed; others still get theirs.
@@ -286,7 +285,6 @@
 	// 0.00  push A7 to A
 	// 0.00  push A8 to A
 	// 0.70  push A7 to A
-	// 0.70  push A8 to A
 }
 
 // Found on hobart-relay: a dead destination filled the room. Its queue ends where as much room is left, and what
--- a/decide/state.go
+++ b/decide/state.go
@@ -78,18 +78,19 @@
 	out       int
 	stop      float64 // nothing starts before
 	allowance float64
-	limit     float64 // last told; 0 for none
-	idle      float64 // since when no call is out
-	sent      []mark  // pushes of the last span that budgets look at
-	ended     []mark  // last outcomes: 0 for a delivery, else how it broke
-	refused   float64 // since when all is refused; never for not
-	full      float64 // when it last refused; -never for not yet
-	struck    bool    // an outage was seen and the destination may still be cold
-	back      float64 // since when it answers again; never for not yet
-	proof     float64 // when the latest push that was delivered was sent
-	heard     float64 // last delivery
-	tried     float64 // when it was last struck or pushed
-	phase     float64 // the random part of the time between trials
+	limit     float64   // last told; 0 for none
+	idle      float64   // since when no call is out
+	sent      []mark    // pushes of the last span that budgets look at
+	ended     []mark    // last outcomes: 0 for a delivery, else how it broke
+	refused   float64   // since when all is refused; never for not
+	turned    []float64 // of the last pushes that it took or refused: 1 for a refusal
+	full      float64   // when it last refused; -never for not yet
+	struck    bool      // an outage was seen and the destination may still be cold
+	back      float64   // since when it answers again; never for not yet
+	proof     float64   // when the latest push that was delivered was sent
+	heard     float64   // last delivery
+	tried     float64   // when it was last struck or pushed
+	phase     float64   // the random part of the time between trials
 }
 
 type mark struct{ at, weight float64 }
