The last slot waits five answer times; all endpoints' times stand in for few

Change: with the last slot taken a push waits five mean answer times and no longer, and an endpoint with few samples borrows those of all. Calls out to dark destinations are counted over those only, not over all. Also covers hangs at busy dispatchers. Harm: a destination that turns slow loses calls while slots are short.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -373,10 +373,8 @@
 // lost counts the calls out to destinations that do not answer. It guards the slots when several hang.
 func (m *Module) lost() int {
 	n := 0
-	for _, g := range m.gates {
-		if g.struck && g.back == never {
-			n += g.out
-		}
+	for _, g := range m.dark {
+		n += g.out
 	}
 	return n
 }
@@ -452,6 +450,7 @@
 	case Delivered:
 		end.gaps = last(end.gaps, now-max(end.heard, c.at), kept)
 		end.lasted = last(end.lasted, o.Latency, kept)
+		m.lasted = last(m.lasted, o.Latency, kept)
 		end.heard = now
 		g.ended = last(g.ended, mark{now, 0}, many)
 		g.refused = never
@@ -459,6 +458,7 @@
 		g.proof, g.heard = max(g.proof, c.at), now
 		if g.struck && g.back == never {
 			g.back = now
+			m.dark = slices.DeleteFunc(m.dark, func(x *gate) bool { return x == g })
 		}
 	case Throttled:
 		end.heard = now
@@ -492,7 +492,7 @@
 		switch quiet := g.heard < c.at; {
 		case quiet && inRow == min(2, len(lately)): // nothing was delivered while it was out
 			m.strike(now, g)
-		case 2*bad >= len(lately): // most calls fail, not all
+		case 2*bad >= len(lately) && !(g.struck && g.back == never): // most calls fail, not all
 			g.struck, g.back = true, now
 		}
 	}
@@ -502,6 +502,7 @@
 func (m *Module) strike(now float64, g *gate) {
 	if !g.struck || g.back != never {
 		g.tried, g.phase = now, m.rng.float()
+		m.dark = append(m.dark, g)
 	}
 	g.struck, g.back = true, never
 }
@@ -511,19 +512,23 @@
 func (m *Module) silent(now float64, end *endpoint) bool {
 	for _, c := range end.calls {
 		if c.at > end.heard {
-			return now-c.at > max(unusual*mean(end.gaps, firstGap), slowed*mean(end.lasted, firstGap))
+			return now-c.at > max(unusual*mean(end.gaps, firstGap), slowed*mean(end.lasted, mean(m.lasted, firstGap)))
 		}
 	}
 	return false
 }
 
-// patience is a push's time-out, by the answer times last seen.
+// patience is a push's time-out, by the answer times last seen; where an endpoint has shown few, those of all
+// stand in. With the last slot taken it is no longer than that: a lost answer would hold up all others.
 func (m *Module) patience(g *gate, end *endpoint, h *held) float64 {
 	aim := h.topic.Objective
 	if g.struck && g.back == never {
 		return mostWait * aim
 	}
-	wait := min(max(leastWait*aim, patience*mean(end.lasted, firstGap)), mostWait*aim)
+	if m.out >= m.slots.Calls {
+		return min(patience*mean(end.lasted, mean(m.lasted, firstGap)), mostWait*aim)
+	}
+	wait := min(max(leastWait*aim, patience*mean(end.lasted, mean(m.lasted, firstGap))), mostWait*aim)
 	if h.topic.Repeat == OnceOnly {
 		wait *= 2
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -441,3 +441,27 @@
 	// 30.00  wait 20.00
 	// 50.00  close idle connections to A
 }
+
+// Found on grown hobart-relay: answers were lost, and two slots waited for them. The last slot waits five answer
+// times at most, which an endpoint of few answers takes from all.
+func Example_lastSlot() {
+	d := newDesk(2, 40, "A", "B")
+	d.take("reading", "A1", "A2", "A3", "A4")
+	for i, id := range []string{"A1", "A2", "A3", "A4"} {
+		d.at(float64(i) / 10)
+		d.ended("A", ok, id)
+	}
+	for _, id := range []string{"B1", "A5"} {
+		d.hand[id] = decide.Notification{ID: id, Topic: "reading", Dest: id[:1], Left: 20}
+		d.m.Place(d.now, d.hand[id])
+		a := d.m.Place(d.now, d.hand[id])
+		fmt.Printf("%s waits %.2f\n", a.Ntf, a.Timeout)
+	}
+	// Output:
+	// 0.00  push A1 to A
+	// 0.10  push A2 to A
+	// 0.20  push A3 to A
+	// 0.30  push A4 to A
+	// B1 waits 1.17
+	// A5 waits 0.72
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -32,8 +32,10 @@
 	pointer int
 	granted bool
 	out     int
-	taken   int    // notifications taken so far
-	idle    []idle // connections left open, oldest first
+	dark    []*gate   // those of destinations that do not answer
+	lasted  []float64 // the last answer times of all
+	taken   int       // notifications taken so far
+	idle    []idle    // connections left open, oldest first
 }
 
 // held is a notification taken and not yet done with.
