Two failures make an outage; a return is dated halfway since the last failure

Change: two failures are needed; the warming is reckoned from halfway between the last failure and the first answer. One failure keeps the second push from being most of what a returning destination gets, as as many first pushes come beside it. Harm: one more push to a destination that is down, from each dispatcher.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -457,7 +457,7 @@
 		g.turned = last(g.turned, 0, recent)
 		g.proof, g.heard = max(g.proof, c.at), now
 		if g.struck && g.back == never {
-			g.back = now
+			g.back = (max(g.lostAt, g.full) + now) / 2
 			m.dark = slices.DeleteFunc(m.dark, func(x *gate) bool { return x == g })
 		}
 	case Throttled:
@@ -482,6 +482,7 @@
 		}
 		c.judged = true
 		g.ended = last(g.ended, mark{now, 1}, many)
+		g.lostAt = now
 		if o.Result == Failed {
 			end.heard = now
 		} else if o.Result != TimedOut || end.heard < c.at { // one lost among answers says nothing
@@ -490,9 +491,9 @@
 		lately := g.ended[max(0, len(g.ended)-recent):]
 		bad, inRow := broken(lately), broken(lately[max(0, len(lately)-2):])
 		switch quiet := g.heard < c.at; {
-		case quiet && inRow == min(2, len(lately)): // nothing was delivered while it was out
+		case quiet && inRow == 2: // nothing was delivered while it was out
 			m.strike(now, g)
-		case 2*bad >= len(lately) && !(g.struck && g.back == never): // most calls fail, not all
+		case bad >= 2 && 2*bad >= len(lately) && !(g.struck && g.back == never): // most calls fail, not all
 			g.struck, g.back = true, now
 		}
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -91,6 +91,7 @@
 	back      float64   // since when it answers again; never for not yet
 	proof     float64   // when the latest push that was delivered was sent
 	heard     float64   // last delivery
+	lostAt    float64   // last broken push
 	tried     float64   // when it was last struck or pushed
 	phase     float64   // the random part of the time between trials
 }
