Idle connections kept a second where not scarce; pushes wait an objective while slots last

Change: idle connections are closed early only where endpoints of the kind refused or broke one within the settings' idle time, else after a second; a push waits one objective at least while a slot is free. Also covers partners of any slow pace. Harm: a hang is noticed half an objective later where slots are free.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -40,10 +40,9 @@
 	careful    = 0.8  // the part of a return budget that is spent
 	rough      = 1.5  // a rough rate may be so many times too high
 	patience   = 5.0  // times the mean answer time a push is waited for
-	leastWait  = 0.5  // but this many objectives at least
-	mostWait   = 2.0  // and at most
+	mostWait   = 2.0  // one objective at least, and so many at most
 	shareSpan  = 5.0  // what a tenant asks is read over this
-	askAgain   = 1.0
+	idleKept   = 1.0  // idle connections are kept so long where they are not scarce
 	paceSpan   = 0.5  // a pace is kept over each such span
 	takenSpan  = 2.0  // what a destination takes is read over this span before a refusal
 	climb      = 0.03 // the pace grows by this part a second
@@ -56,7 +55,8 @@
 	m := &Module{rng: pcg{state: seed}, dir: dir, topics: map[string]Topic{}, slots: slots, routes: routes,
 		returns: returns, pushes: pushes, shares: shares, ask: ask, held: map[string]*held{},
 		keys: map[string][]*held{}, dests: map[string]*dest{}, gates: map[string]*gate{},
-		ends: map[string]*endpoint{}, asked: map[string][]float64{}}
+		ends: map[string]*endpoint{}, asked: map[string][]float64{},
+		scarce: map[string]float64{}}
 	if !ask {
 		m.nextAsk = never
 	}
@@ -74,8 +74,9 @@
 			m.heard, m.nextAsk = m.dir.Heard, never
 			return Answer{Do: Watch}
 		}
-		end := m.idle[0].end
-		m.idle = m.idle[1:]
+		i := slices.IndexFunc(m.idle, func(i idle) bool { return m.closes(now, i) <= now })
+		end := m.idle[i].end
+		m.idle = slices.Delete(m.idle, i, i+1)
 		return Answer{Do: Close, Endpoint: end.id}
 	}
 	h, known := m.held[ntf.ID]
@@ -107,6 +108,7 @@
 		return Answer{}
 	}
 	g, end := m.gate(*e), m.end(e.ID)
+	end.kind = e.Kind
 	d.deficit--
 	m.leave(d, h)
 	weight := rider
@@ -151,9 +153,7 @@
 			c.end.calls = slices.DeleteFunc(c.end.calls, func(x *call) bool { return x == c })
 			m.out--
 			c.end.idle = now
-			if m.pushes.IdleClose > 0 {
-				m.idle = append(m.idle, idle{c.end, now})
-			}
+			m.idle = append(m.idle, idle{c.end, now})
 			if c.gate.out--; c.gate.out == 0 {
 				c.gate.idle = now
 			}
@@ -171,8 +171,7 @@
 			h.rest = now + m.pushes.Settle
 		}
 	}
-	h.over = h.over || o.Over
-	if h.over {
+	if h.over = h.over || o.Over; h.over {
 		m.settle(now, h)
 		return Answer{}
 	}
@@ -360,14 +359,14 @@
 	return m.window(now, g, rate, m.returns.FallAfter)
 }
 
-// part is this dispatcher's part of what a destination takes a second: what lately came here for it, or an even
-// part if that is more. Many dispatchers' even parts are far under one call, while their load is uneven.
+// part is this dispatcher's part of what a destination takes a second: what lately came here for it, or an
+// even part if that is more. Many dispatchers' even parts are far under one call, while their load is uneven.
 func (m *Module) part(now float64, d *dest, e directory.Endpoint, g *gate) float64 {
 	n := 0.0
 	for i := len(d.came) - 1; i >= 0 && d.came[i] > now-m.returns.ColdSpan; i-- {
 		n++
 	}
-	return max(n/max(m.returns.ColdSpan, 1), m.rate(e, g)/float64(max(1, m.returns.Dispatchers)))
+	return max(n/max(m.returns.ColdSpan, 1), m.even(m.rate(e, g)))
 }
 
 // lost counts the calls out to destinations that do not answer. It guards the slots when several hang.
@@ -379,6 +378,9 @@
 	return n
 }
 
+// even is one dispatcher's part of a figure for all.
+func (m *Module) even(all float64) float64 { return all / float64(max(1, m.returns.Dispatchers)) }
+
 // rate is what a destination takes a second from all dispatchers, as told last and best.
 func (m *Module) rate(e directory.Endpoint, g *gate) float64 {
 	if g.limit > 0 {
@@ -474,6 +476,9 @@
 			m.strike(now, g)
 		}
 	case Failed, TimedOut, NotConnected, Reset:
+		if o.Result == NotConnected || o.Result == Reset {
+			m.scarce[end.kind] = now + m.pushes.IdleClose
+		}
 		if c.hurried && o.Result == TimedOut { // it had little time left: its end says nothing of the endpoint
 			return
 		}
@@ -529,7 +534,7 @@
 	if m.out >= m.slots.Calls {
 		return min(patience*mean(end.lasted, mean(m.lasted, firstGap)), mostWait*aim)
 	}
-	wait := min(max(leastWait*aim, patience*mean(end.lasted, mean(m.lasted, firstGap))), mostWait*aim)
+	wait := min(max(aim, patience*mean(end.lasted, mean(m.lasted, firstGap))), mostWait*aim)
 	if h.topic.Repeat == OnceOnly {
 		wait *= 2
 	}
@@ -579,9 +584,6 @@
 	return least.shed
 }
 
-// due is when the objective ends.
-func (h *held) due() float64 { return h.until - h.topic.TTL + h.topic.Objective }
-
 // worth is the benefit of a notification delivered now.
 func (m *Module) worth(now float64, h *held) float64 {
 	late := now - h.due()
@@ -595,7 +597,7 @@
 // beyond tells that a tenant asks more than this dispatcher's part of its share, which is worth little. It
 // guards the others' room in bursts; retries, known by the time they have left, belong to their first try.
 func (m *Module) beyond(now float64, tenant string) bool {
-	part := shareSpan * m.shares.Rate[tenant] / float64(max(1, m.returns.Dispatchers))
+	part := shareSpan * m.even(m.shares.Rate[tenant])
 	part += 2 * math.Sqrt(part) // beyond what chance alone brings
 	asked := last(m.asked[tenant], now, many)
 	m.asked[tenant] = asked
@@ -647,8 +649,6 @@
 	}
 }
 
-func (h *held) ordered() bool { return h.topic.Ordered && h.Key != "" }
-
 // joinable is the call of this turn to an endpoint that has room for another notification.
 func (m *Module) joinable(now float64, e directory.Endpoint) *call {
 	calls := m.end(e.ID).calls
@@ -693,17 +693,28 @@
 }
 
 // errandAt tells when the list is to be asked for (at start, and again some time after a failure), or idle
-// connections are to be closed. One is kept for the settings' time divided among the dispatchers: an endpoint
-// takes only so many, and many dispatchers' idle ones would shut the others out, or break unseen.
+// connections are to be closed.
 func (m *Module) errandAt(now float64) float64 {
 	if m.ask && m.nextAsk == never && m.dir.Failures > 0 && m.dir.Heard != m.heard {
 		m.heard = m.dir.Heard
-		m.nextAsk = now + askAgain*(1+m.rng.float())
+		m.nextAsk = now + asideFixed*(1+m.rng.float())
 	}
-	for ; len(m.idle) > 0; m.idle = m.idle[1:] {
-		if i := m.idle[0]; len(i.end.calls) == 0 && i.end.idle == i.since {
-			return min(m.nextAsk, i.since+m.pushes.IdleClose/float64(max(1, m.returns.Dispatchers)))
-		}
+	used := func(i idle) bool { return len(i.end.calls) > 0 || i.end.idle != i.since }
+	m.idle = slices.DeleteFunc(m.idle, used)
+	next := m.nextAsk
+	for _, i := range m.idle {
+		next = min(next, m.closes(now, i))
+	}
+	return next
+}
+
+// closes tells when idle connections are to be closed. An endpoint may take only so many, and many
+// dispatchers' idle ones would shut the others out, or break unseen. Where endpoints of its kind lately
+// refused or broke one, the settings' idle time is divided among the dispatchers; else a second at least.
+func (m *Module) closes(now float64, i idle) float64 {
+	keep := m.even(m.pushes.IdleClose)
+	if m.scarce[i.end.kind] <= now {
+		keep = max(keep, idleKept)
 	}
-	return m.nextAsk
+	return i.since + keep
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -32,10 +32,11 @@
 	pointer int
 	granted bool
 	out     int
-	dark    []*gate   // those of destinations that do not answer
-	lasted  []float64 // the last answer times of all
-	taken   int       // notifications taken so far
-	idle    []idle    // connections left open, oldest first
+	dark    []*gate            // those of destinations that do not answer
+	lasted  []float64          // the last answer times of all
+	taken   int                // notifications taken so far
+	idle    []idle             // connections left open, oldest first
+	scarce  map[string]float64 // by kind: until when idle connections are closed early
 }
 
 // held is a notification taken and not yet done with.
@@ -55,6 +56,11 @@
 	lastSent float64
 }
 
+// due is when the objective ends.
+func (h *held) due() float64 { return h.until - h.topic.TTL + h.topic.Objective }
+
+func (h *held) ordered() bool { return h.topic.Ordered && h.Key != "" }
+
 // call is a call out, shared by the notifications of one turn.
 type call struct {
 	end     *endpoint
@@ -107,6 +113,7 @@
 // endpoint is what is measured of one endpoint.
 type endpoint struct {
 	id     string
+	kind   string
 	calls  []*call
 	idle   float64 // when its last call ended
 	aside  float64 // set aside until then
