Ties between endpoints go by chance, not to the first listed

Change: ties go by the module's chance. Told apart from a limit: the refusals told no wait and three fifths of the limit was left. Covers any crowd on one of several equal endpoints. Harm: fewer pushes find an open connection.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -286,9 +286,8 @@
 		}
 		better := best == nil || len(end.calls) < least
 		if !better && len(end.calls) == least {
-			was := m.end(best.ID)
 			fee, wasFee := m.routes.Fee[e.Zone], m.routes.Fee[best.Zone]
-			better = fee < wasFee || fee == wasFee && end.heard > was.heard
+			better = fee < wasFee || fee == wasFee && m.rng.float() < 0.5
 		}
 		if better {
 			best, least = e, len(end.calls)
