Ties go to the endpoint that delivered last, at random where none did

Against ties by chance alone, which opened more connections. An endpoint that refuses loses the tie. Test: one of four equal endpoints is chosen by chance.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,8 +55,7 @@
 	m := &Module{rng: pcg{state: seed}, dir: dir, topics: map[string]Topic{}, slots: slots, routes: routes,
 		returns: returns, pushes: pushes, shares: shares, ask: ask, held: map[string]*held{},
 		keys: map[string][]*held{}, dests: map[string]*dest{}, gates: map[string]*gate{},
-		ends: map[string]*endpoint{}, asked: map[string][]float64{},
-		scarce: map[string]float64{}}
+		ends: map[string]*endpoint{}, asked: map[string][]float64{}, scarce: map[string]float64{}}
 	if !ask {
 		m.nextAsk = never
 	}
@@ -259,7 +258,8 @@
 	return nil, next
 }
 
-// admit finds the endpoint with fewest calls in flight that its throttle admits, or when one could be had.
+// admit finds the endpoint with fewest calls in flight that its throttle admits, or when one could be had. A
+// tie goes to the one that delivered last, else by chance: many dispatchers with none in flight crowd one.
 func (m *Module) admit(now float64, d *dest, h *held) (*directory.Endpoint, float64) {
 	if when := m.keyFree(now, h); when > now {
 		return nil, when
@@ -286,8 +286,8 @@
 		}
 		better := best == nil || len(end.calls) < least
 		if !better && len(end.calls) == least {
-			fee, wasFee := m.routes.Fee[e.Zone], m.routes.Fee[best.Zone]
-			better = fee < wasFee || fee == wasFee && m.rng.float() < 0.5
+			fee, was := m.routes.Fee[e.Zone], m.routes.Fee[best.Zone]
+			better = fee < was || fee == was && end.rank > m.end(best.ID).rank
 		}
 		if better {
 			best, least = e, len(end.calls)
@@ -449,6 +449,7 @@
 	}
 	switch o.Result {
 	case Delivered:
+		end.rank = now
 		end.gaps = last(end.gaps, now-max(end.heard, c.at), kept)
 		end.lasted = last(end.lasted, o.Latency, kept)
 		m.lasted = last(m.lasted, o.Latency, kept)
@@ -462,7 +463,7 @@
 			m.dark = slices.DeleteFunc(m.dark, func(x *gate) bool { return x == g })
 		}
 	case Throttled:
-		end.heard = now
+		end.heard, end.rank = now, -m.rng.float()
 		wait := o.Wait
 		if wait <= 0 {
 			wait = fullStop
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -479,3 +479,21 @@
 	// B1 waits 2.00
 	// A5 waits 0.72
 }
+
+// Found on grown results-windhoek: every dispatcher's first choice was the first listed. Now it is by chance; the
+// endpoint that delivered last is kept to, and left when it refuses.
+func Example_ties() {
+	d := newDesk(8, 40, "B", "A", "Ab", "Ac", "Ad")
+	d.take("reading", "B1", "A1")
+	d.at(0)
+	d.ended("Ab", ok, "A1")
+	d.take("reading", "A2")
+	d.at(0.1)
+	d.ended("Ab", full, "A2")
+	d.at(0.9)
+	// Output:
+	// 0.00  push B1 to B
+	// 0.00  push A1 to Ab
+	// 0.10  push A2 to Ab
+	// 0.90  push A2 to A
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -116,6 +116,7 @@
 	kind   string
 	calls  []*call
 	idle   float64 // when its last call ended
+	rank   float64 // when it last delivered, or at random
 	aside  float64 // set aside until then
 	heard  float64 // last answer
 	gaps   []float64
@@ -142,7 +143,7 @@
 
 func (m *Module) end(id string) *endpoint {
 	if m.ends[id] == nil {
-		m.ends[id] = &endpoint{id: id}
+		m.ends[id] = &endpoint{id: id, rank: -m.rng.float()}
 	}
 	return m.ends[id]
 }
