--- a/decide/decide.go
+++ b/decide/decide.go
@@ -455,11 +455,11 @@
 		m.lasted = last(m.lasted, o.Latency, kept)
 		end.heard = now
 		g.ended = last(g.ended, mark{now, 0}, many)
-		g.refused = never
-		g.turned = last(g.turned, 0, recent)
+		g.refused, g.turned = never, last(g.turned, 0, recent)
 		g.proof, g.heard = max(g.proof, c.at), now
 		if g.struck && g.back == never {
 			g.back = (max(g.lostAt, g.full) + now) / 2
+			g.full, g.turned = -never, nil // its refusals were the outage's, and tell of no limit
 			m.dark = slices.DeleteFunc(m.dark, func(x *gate) bool { return x == g })
 		}
 	case Throttled:
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -497,3 +497,26 @@
 	// 0.10  push A2 to Ab
 	// 0.90  push A2 to A
 }
+
+// Found on grown dar-delivery: a hung partner's full queue refuses. Once it answers again the return budget alone
+// decides; the pace that its refusals called for would hold it to a push in seconds.
+func Example_refusalsOver() {
+	d := newDesk(12, 60, "A")
+	d.take("reading", "A1", "A2", "A3", "A4")
+	d.at(0)
+	d.ended("A", full, "A1", "A2")
+	d.at(2)
+	d.ended("A", full, "A3", "A4")
+	d.at(5)
+	d.ended("A", ok, "A1")
+	d.at(5.1)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.00  push A2 to A
+	// 0.00  push A3 to A
+	// 0.00  push A4 to A
+	// 2.00  push A1 to A
+	// 5.10  push A2 to A
+	// 5.10  push A3 to A
+	// 5.10  push A4 to A
+}
