Even return budget where far more came than chance brings; a broken fail-back mended

Change: where more came in the cold span than chance brings on an even part, the return budget is even again. Covers any demand far above a partner's rate. Harm: at a busy dispatcher among idle ones a return is followed more slowly.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -341,14 +341,15 @@
 // budget tells when a struck destination may get its next push: with the others' no more than a cold one can
 // take. Before it answers again pushes go one at a time, and each dispatcher's come at moments of its own.
 func (m *Module) budget(now float64, d *dest, e directory.Endpoint, g *gate) float64 {
-	if g.struck && g.back+m.returns.ColdSpan < now {
-		g.struck = false
-	}
-	if !g.struck {
+	if g.struck = g.struck && g.back+m.returns.ColdSpan >= now; !g.struck {
 		return now
 	}
 	warm := m.returns.ColdFrom + (1-m.returns.ColdFrom)*max(0, min(1, (now-g.back)/m.returns.ColdSpan))
-	rate := careful * m.returns.Multiple * warm * m.part(now, d, e, g)
+	span, part := max(m.returns.ColdSpan, 1), m.part(now, d, e, g)
+	if fair := span * m.even(m.rate(e, g)); span*part > fair+1+2*math.Sqrt(fair) {
+		part = fair / span // more than chance brings: all together ask far more than it takes
+	}
+	rate := careful * m.returns.Multiple * warm * part
 	if g.back == never {
 		if g.out > 0 || m.lost() >= max(1, m.slots.Calls/lostPart) {
 			return never
@@ -449,11 +450,10 @@
 	}
 	switch o.Result {
 	case Delivered:
-		end.rank = now
 		end.gaps = last(end.gaps, now-max(end.heard, c.at), kept)
 		end.lasted = last(end.lasted, o.Latency, kept)
 		m.lasted = last(m.lasted, o.Latency, kept)
-		end.heard = now
+		end.heard, end.rank = now, now
 		g.ended = last(g.ended, mark{now, 0}, many)
 		g.refused, g.turned = never, last(g.turned, 0, recent)
 		g.proof, g.heard = max(g.proof, c.at), now
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -520,3 +520,28 @@
 	// 5.10  push A3 to A
 	// 5.10  push A4 to A
 }
+
+// Found on grown hobart-relay, where it broke the rule on returns: far more came for a hot destination than it
+// takes, and parts by what came pushed it over. Then the part is even: five pushes in two seconds, not eight.
+func Example_hotReturn() {
+	d := newDesk(24, 200, "A")
+	d.take("reading", "A0")
+	d.at(0)
+	d.ended("A", refused, "A0")
+	d.at(2)
+	d.ended("A", refused, "A0")
+	for i := range 70 {
+		d.take("reading", fmt.Sprint("A", i+1))
+	}
+	d.at(6)
+	d.ended("A", ok, "A0")
+	d.at(6.1)
+	// Output:
+	// 0.00  push A0 to A
+	// 2.00  push A0 to A
+	// 6.00  push A0 to A
+	// 6.10  push A1 to A
+	// 6.10  push A2 to A
+	// 6.10  push A3 to A
+	// 6.10  push A4 to A
+}
