--- a/cmd/simhost/host.go
+++ b/cmd/simhost/host.go
@@ -132,10 +132,10 @@
 		h.act(i, "HAND_OFF %s %.3f %s", a.Ntf, a.Timeout*1000, a.Endpoint)
 	case decide.Throttle:
 		h.act(i, "NOT_NOW %s %.3f", a.Ntf, a.RetryIn*1000)
-		x.finish(a.Ntf)
+		x.heard(h.now, a.Ntf)
 	case decide.Expire:
 		h.act(i, "LOSE %s", a.Ntf)
-		x.finish(a.Ntf)
+		x.heard(h.now, a.Ntf)
 	case decide.Cancel:
 		h.act(i, "CALL_OFF %s %d", a.Ntf, a.Push)
 	case decide.Probe:
@@ -151,6 +151,12 @@
 	}
 }
 
+// heard tells the module that its final answer has reached the client, as it has here with the reply.
+func (x *instance) heard(now float64, id string) {
+	x.module.After(now, decide.Outcome{Ntf: id, Result: decide.Withdrawn, Over: true})
+	x.finish(id)
+}
+
 // finish marks a notification answered and lets go of it once no push is out.
 func (x *instance) finish(id string) {
 	x.over[id] = true
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -15,6 +15,7 @@
 package decide
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -82,10 +83,13 @@
 	d := m.dest(ntf.Dest)
 	if !known {
 		h = &held{Notification: ntf, topic: m.topics[ntf.Topic], until: now + ntf.Left, mayRun: never}
-		h.beyond = ntf.Left > h.topic.TTL-m.pushes.Tick && m.beyond(now, ntf.Tenant)
-		if len(d.queue) >= m.bound() && !m.displace(now, d, h) {
+		h.pushes, h.beyond = ntf.Pushes, ntf.Left > h.topic.TTL-m.pushes.Tick && m.beyond(now, ntf.Tenant)
+		if !ntf.Owed && len(d.queue) >= m.bound() && !m.displace(now, d, h) {
 			return Answer{Do: Throttle, Ntf: h.ID, RetryIn: m.retryIn(now, d)}
 		}
+		if ntf.RanAt > 0 { // before a restart: it may still run
+			h.mayRun, h.zone, h.rest = ntf.RanAt, m.zone(ntf.Dest, ntf.RanTo), now+m.pushes.Settle
+		}
 		m.held[h.ID] = h
 		d.came = last(d.came, now, many)
 		if h.ordered() {
@@ -93,7 +97,9 @@
 		}
 		m.taken++
 		h.order = m.taken
-		m.enqueue(d, h)
+		if h.over, h.ending = ntf.Ending, ntf.Ending; !h.over {
+			m.enqueue(d, h)
+		}
 		return Answer{}
 	}
 	if h.over || h.call != nil {
@@ -140,7 +146,7 @@
 	}
 	d := m.dest(h.Dest)
 	if o.Result == Withdrawn {
-		h.over = true
+		h.over, h.ending = true, false
 		m.leave(d, h)
 		m.settle(now, h)
 		return Answer{}
@@ -322,12 +328,7 @@
 }
 
 // forgets tells how long the allowance is kept with no call out: a second, or what the limit takes a call.
-func (m *Module) forgets(g *gate) float64 {
-	if g.limit > 0 {
-		return min(forget, 1/g.limit)
-	}
-	return forget
-}
+func (m *Module) forgets(g *gate) float64 { return min(forget, 1/max(0, g.limit)) }
 
 // cap is three quarters of the slots, half while the destination fails or slows, at least one.
 func (m *Module) cap(now float64, e directory.Endpoint) int {
@@ -448,6 +449,9 @@
 			g.allowance = never
 		}
 	}
+	if o.Wait > 0 { // it binds with whatever answer it stands
+		g.stop = max(g.stop, now+o.Wait)
+	}
 	switch o.Result {
 	case Delivered:
 		end.gaps = last(end.gaps, now-max(end.heard, c.at), kept)
@@ -464,10 +468,7 @@
 		}
 	case Throttled:
 		end.heard, end.rank = now, -m.rng.float()
-		wait := o.Wait
-		if wait <= 0 {
-			wait = fullStop
-		}
+		wait := cmp.Or(max(0, o.Wait), fullStop)
 		g.stop = max(g.stop, now+wait)
 		g.refused = min(g.refused, now)
 		g.full, g.phase = now, m.rng.float()
@@ -556,11 +557,10 @@
 	return h.topic.Repeat == OnceOnly || h.topic.Repeat == Collapsible && forgotten
 }
 
-// giveUp ends a notification: throttled where it may safely come again, else expired.
+// giveUp ends one: throttled where it may safely come again, else expired. Its key waits until that is heard.
 func (m *Module) giveUp(now float64, d *dest, h *held) Answer {
-	h.over = true
+	h.over, h.ending = true, true
 	m.leave(d, h)
-	m.settle(now, h)
 	known := h.topic.Repeat == Collapsible && h.topic.Group == "all"
 	if h.mayRun == never || h.topic.Repeat == Repeatable || known {
 		return Answer{Do: Throttle, Ntf: h.ID, RetryIn: m.retryIn(now, d)}
@@ -623,7 +623,7 @@
 		if x == h {
 			return wait
 		}
-		if !x.over || x.call != nil {
+		if !x.done() {
 			return never
 		}
 		wait = max(wait, x.rest)
@@ -633,14 +633,14 @@
 
 // settle forgets a notification that is over, once its push has an outcome and its key has rested.
 func (m *Module) settle(now float64, h *held) {
-	if h.call != nil {
+	if !h.done() {
 		return
 	}
 	delete(m.held, h.ID)
 	if !h.ordered() {
 		return
 	}
-	rested := func(x *held) bool { return x.over && x.call == nil && x.rest <= now }
+	rested := func(x *held) bool { return x.done() && x.rest <= now }
 	left := slices.DeleteFunc(m.keys[h.Key], rested)
 	if len(left) == 0 {
 		delete(m.keys, h.Key)
--- a/decide/helpers_test.go
+++ b/decide/helpers_test.go
@@ -15,6 +15,7 @@
 	now  float64
 
 	closing bool // print what is closed too
+	unheard bool // final answers are not heard
 }
 
 var topics = []decide.Topic{
@@ -98,5 +99,8 @@
 		fmt.Printf("%.2f  push %s to %s\n", d.now-100, a.Ntf, a.Endpoint)
 	default:
 		fmt.Printf("%.2f  %s %s\n", d.now-100, words[a.Do], a.Ntf)
+		if !d.unheard {
+			d.m.After(d.now, decide.Outcome{Ntf: a.Ntf, Result: decide.Withdrawn, Over: true})
+		}
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -51,6 +51,7 @@
 	zone     string  // where that push went
 	rest     float64 // its key rests until then once it is over
 	over     bool
+	ending   bool // over, but its final answer was not heard yet
 	beyond   bool // it came beyond its tenant's share
 	shed     bool // its place was taken by one worth more
 	lastSent float64
@@ -59,6 +60,9 @@
 // due is when the objective ends.
 func (h *held) due() float64 { return h.until - h.topic.TTL + h.topic.Objective }
 
+// done tells that nothing more can come of it.
+func (h *held) done() bool { return h.over && !h.ending && h.call == nil }
+
 func (h *held) ordered() bool { return h.topic.Ordered && h.Key != "" }
 
 // call is a call out, shared by the notifications of one turn.
--- a/decide/types.go
+++ b/decide/types.go
@@ -31,6 +31,13 @@
 	Dest   string
 	Key    string  // of the order; "" for none
 	Left   float64 // seconds in which it may still be delivered, when it came in
+
+	// What a dispatcher that restarts still owes comes with what became of it before.
+	Owed   bool
+	Ending bool    // its notice is not answered yet; that is all it needs
+	Pushes int     // pushes used
+	RanAt  float64 // when the first push that may have run was sent, 0 for none
+	RanTo  string  // and where to
 }
 
 // Result tells how a push ended.
@@ -46,7 +53,7 @@
 	Reset               // the connection broke: may have run
 	Cancelled           // called off: may have run
 	Moot                // not sent at all
-	Withdrawn           // nobody wants the notification any more
+	Withdrawn           // nobody wants the notification any more, or its final answer was heard
 	Note                // a note from another dispatcher
 )
 
@@ -58,7 +65,7 @@
 	Over     bool // the notification has its final answer
 	Endpoint string
 	Latency  float64
-	Wait     float64 // Throttled: the wait told, 0 for none
+	Wait     float64 // the wait told, 0 for none
 	NoSlot   bool    // Moot: every slot was taken
 	Reported bool    // Share and Limit were told
 	Share    float64 // of the limit, left just now
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -16,6 +16,7 @@
 	Dest  string  // the destination that it belongs to
 	Stage string  // Ready, Draining or Gone
 	Rate  float64 // calls a second that the destination is listed with; 0: not told
+	Addr  string  // where it is reached; "" on the simulator's wire
 }
 
 // Directory is the list as one dispatcher knows it.
@@ -52,6 +53,16 @@
 // Of lists the endpoints of a destination that are not known to be gone.
 func (d *Directory) Of(dest string) []Endpoint { return d.byDest[dest] }
 
+// Find returns an endpoint of a destination, as listed.
+func (d *Directory) Find(dest, id string) (Endpoint, bool) {
+	for _, e := range d.byDest[dest] {
+		if e.ID == id {
+			return e, true
+		}
+	}
+	return Endpoint{}, false
+}
+
 func (d *Directory) put(e Endpoint) {
 	known := d.byDest[e.Dest]
 	for i := range known {
--- /dev/null
+++ b/gateway/events.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"orchiddrift/directory"
+	"orchiddrift/ledger"
+	"orchiddrift/message"
+	"orchiddrift/push"
+)
+
+// Event is something that happened: Arrived, Unkept, Connected, Ended, Listed, ListLost, Noticed or Stopping.
+type Event interface{ event() }
+
+// Arrived is a message that a client handed in. Reply is called once.
+type Arrived struct {
+	Message *message.Message
+	Reply   func(Reply)
+}
+
+// Unkept tells that an accepted message could not be written to the ledger.
+type Unkept struct{ ID string }
+
+// Connected brings the connection that a call waits for, or how that failed.
+type Connected struct {
+	Call *Call
+	Conn *push.Conn
+	End  push.End
+}
+
+// Ended brings the answer to a call.
+type Ended struct {
+	Call   *Call
+	Answer push.Answer
+}
+
+// Listed is what discovery told: the whole list, or what changed.
+type Listed struct {
+	Full      bool
+	Endpoints []directory.Endpoint
+}
+
+// ListLost tells that the list could not be had.
+type ListLost struct{}
+
+// Noticed tells that the platform has answered a notice.
+type Noticed struct{ ID string }
+
+// Stopping tells that the process is to end: no push starts any more.
+type Stopping struct{}
+
+func (Arrived) event()   {}
+func (Unkept) event()    {}
+func (Connected) event() {}
+func (Ended) event()     {}
+func (Listed) event()    {}
+func (ListLost) event()  {}
+func (Noticed) event()   {}
+func (Stopping) event()  {}
+
+// Reply is what a client is told.
+type Reply struct {
+	Taken   bool
+	RetryIn float64 // seconds, when not taken
+}
+
+// Effect is something to be done: Accept, Answer, Keep, Dial, Begin, Shut, Notify, Watch or Fetch. Effects are
+// carried out one after another, in order.
+type Effect interface{ effect() }
+
+// Accept writes a message to the ledger and tells its client that it is taken on; Unkept follows if it can't.
+type Accept struct {
+	Message *message.Message
+	Reply   func(Reply)
+}
+
+// Answer tells a client.
+type Answer struct {
+	To func(Reply)
+	Reply
+}
+
+// Keep writes to the ledger.
+type Keep struct{ Records []ledger.Record }
+
+// Dial opens a connection for a call; Connected follows.
+type Dial struct {
+	Call   *Call
+	Within float64
+}
+
+// Begin writes to the ledger that a call's pushes start, then sends it; Ended follows.
+type Begin struct {
+	Call    *Call
+	Records []ledger.Record
+	Within  float64
+}
+
+// Shut closes a connection.
+type Shut struct{ Conn *push.Conn }
+
+// Notify sends a notice to the platform until it is answered; Noticed follows.
+type Notify struct {
+	ID      string
+	Outcome string
+	RetryIn float64
+}
+
+// Watch follows the list; Listed and ListLost follow.
+type Watch struct{}
+
+// Fetch asks once for the whole list; Listed or ListLost follows.
+type Fetch struct{}
+
+func (Accept) effect() {}
+func (Answer) effect() {}
+func (Keep) effect()   {}
+func (Dial) effect()   {}
+func (Begin) effect()  {}
+func (Shut) effect()   {}
+func (Notify) effect() {}
+func (Watch) effect()  {}
+func (Fetch) effect()  {}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,295 @@
+// Package gateway is the one place where a dispatcher's state changes. Step takes an event, asks the decision
+// module, and returns the effects to carry out; Turns lets all go whose turn has come. Neither reads nor writes.
+package gateway
+
+import (
+	"math"
+
+	"orchiddrift/decide"
+	"orchiddrift/directory"
+	"orchiddrift/ledger"
+	"orchiddrift/message"
+	"orchiddrift/push"
+)
+
+// The outcomes that a notice can tell.
+const (
+	GivenUp    = "given_up"
+	HandedBack = "handed_back"
+)
+
+// Call is one call to an endpoint, for one message or for several that share it.
+type Call struct {
+	Endpoint directory.Endpoint
+	Items    []*message.Message
+	Conn     *push.Conn // once it is sent, the connection that it is out on
+	until    float64    // when its wait is over
+	placed   float64
+}
+
+// Gateway holds what is in hand.
+type Gateway struct {
+	module  *decide.Module
+	dir     *directory.Directory
+	room    func(body int) bool     // the ledger has room for a message
+	batch   map[string]int          // by kind: messages that may share a call
+	dial    float64                 // a connection is waited for so long at most
+	hand    map[string]*item        // by message
+	idle    map[string][]*push.Conn // by endpoint, the latest used last
+	waits   map[string]float64      // by destination: when it last told a wait
+	forming []*Call                 // the calls of this turn
+	stopped bool
+	effects []Effect
+}
+
+// item is a message in hand.
+type item struct {
+	message *message.Message
+	reply   func(Reply) // of a client that has no answer yet
+	call    *Call
+	ending  bool // its notice is out
+}
+
+// New returns a gateway with nothing in hand.
+func New(module *decide.Module, dir *directory.Directory, room func(int) bool, batch map[string]int,
+	dial float64) *Gateway {
+	return &Gateway{module: module, dir: dir, room: room, batch: batch, dial: dial, hand: map[string]*item{},
+		idle: map[string][]*push.Conn{}, waits: map[string]float64{}}
+}
+
+// Restore takes back, in the order they were taken, the messages owed since before a restart.
+func (g *Gateway) Restore(now float64, owed []ledger.Owed) []Effect {
+	for _, o := range owed {
+		m := o.Message
+		m.Left, m.Owed, m.Ending = m.Until-now, true, o.Notice != nil
+		g.hand[m.ID] = &item{message: m, ending: m.Ending}
+		g.answer(now, g.module.Place(now, m.Notification))
+		if n := o.Notice; n != nil {
+			g.do(Notify{n.ID, n.Outcome, n.RetryIn})
+		}
+	}
+	return g.done()
+}
+
+// Held tells how many messages are in hand.
+func (g *Gateway) Held() int { return len(g.hand) }
+
+// Step takes in an event.
+func (g *Gateway) Step(now float64, e Event) []Effect {
+	switch e := e.(type) {
+	case Arrived:
+		g.arrived(now, e)
+	case Unkept:
+		g.over(now, e.ID)
+	case Connected:
+		g.connected(now, e)
+	case Ended:
+		g.ended(now, e.Call, e.Answer)
+	case Listed:
+		if e.Full {
+			g.dir.Replace(e.Endpoints)
+		} else {
+			g.dir.Change(e.Endpoints)
+		}
+	case ListLost:
+		g.dir.Failed()
+	case Noticed:
+		g.do(Keep{[]ledger.Record{{Kind: ledger.Over, ID: e.ID}}})
+		g.over(now, e.ID)
+	case Stopping:
+		g.stopped = true
+	}
+	return g.done()
+}
+
+// Turns asks the module whose turn it is until it is nobody's, and gives the seconds until it is to be asked
+// again. What goes to one endpoint in one turn shares calls, where its kind allows that.
+func (g *Gateway) Turns(now float64) ([]Effect, float64) {
+	if g.stopped {
+		return nil, math.Inf(1)
+	}
+	for {
+		wait, id := g.module.Wait(now)
+		if wait > 0 {
+			g.start(now)
+			return g.done(), wait
+		}
+		ntf := decide.Notification{}
+		if it := g.hand[id]; it != nil {
+			ntf = it.message.Notification
+		}
+		g.answer(now, g.module.Place(now, ntf))
+	}
+}
+
+// arrived takes a message on, or refuses it.
+func (g *Gateway) arrived(now float64, e Arrived) {
+	m := e.Message
+	if g.hand[m.ID] != nil { // handed in again though we have it
+		g.do(Answer{e.Reply, Reply{Taken: true}})
+		return
+	}
+	if !g.room(len(m.Body)) || g.stopped {
+		g.do(Answer{e.Reply, Reply{}})
+		return
+	}
+	m.Left = m.Until - now
+	a := g.module.Place(now, m.Notification)
+	if a.Do == decide.Throttle {
+		g.do(Answer{e.Reply, Reply{RetryIn: a.RetryIn}})
+		return
+	}
+	g.hand[m.ID] = &item{message: m}
+	g.do(Accept{m, e.Reply})
+}
+
+// answer carries out one answer of the module.
+func (g *Gateway) answer(now float64, a decide.Answer) {
+	switch a.Do {
+	case decide.Push:
+		g.join(now, a)
+	case decide.Throttle:
+		g.notify(Notify{a.Ntf, HandedBack, a.RetryIn})
+	case decide.Expire:
+		g.notify(Notify{a.Ntf, GivenUp, 0})
+	case decide.Cancel:
+		if it := g.hand[a.Ntf]; it != nil && it.call != nil && it.call.Conn != nil {
+			g.do(Shut{it.call.Conn})
+		}
+	case decide.Watch:
+		g.do(Watch{})
+	case decide.Fetch:
+		g.do(Fetch{})
+	case decide.Close:
+		for _, c := range g.idle[a.Endpoint] {
+			g.do(Shut{c})
+		}
+		delete(g.idle, a.Endpoint)
+	}
+}
+
+// notify ends a message by a notice: the ledger has it before the platform.
+func (g *Gateway) notify(n Notify) {
+	g.hand[n.ID].ending = true
+	g.do(Keep{[]ledger.Record{{Kind: ledger.Noticed, ID: n.ID, Outcome: n.Outcome, RetryIn: n.RetryIn}}})
+	g.do(n)
+}
+
+// join puts a push into the latest call of this turn to its endpoint that has room, or into a new one. A
+// shared call ends for all when the first of them has waited its time.
+func (g *Gateway) join(now float64, a decide.Answer) {
+	it := g.hand[a.Ntf]
+	until := now + a.Timeout
+	for i := len(g.forming) - 1; i >= 0; i-- {
+		c := g.forming[i]
+		if c.Endpoint.ID == a.Endpoint && len(c.Items) < g.batch[c.Endpoint.Kind] {
+			c.Items = append(c.Items, it.message)
+			c.until = min(c.until, until)
+			it.call = c
+			return
+		}
+	}
+	e, _ := g.dir.Find(it.message.Dest, a.Endpoint)
+	it.call = &Call{Endpoint: e, Items: []*message.Message{it.message}, until: until, placed: now}
+	g.forming = append(g.forming, it.call)
+}
+
+// start gives each call of this turn an idle connection, or has one opened.
+func (g *Gateway) start(now float64) {
+	for _, c := range g.forming {
+		if conn := g.reuse(c.Endpoint); conn != nil {
+			g.begin(now, c, conn)
+		} else {
+			g.do(Dial{c, min(g.dial, c.until-now)})
+		}
+	}
+	g.forming = nil
+}
+
+// reuse takes the idle connection used last that still stands and leads to the endpoint's address.
+func (g *Gateway) reuse(e directory.Endpoint) *push.Conn {
+	for list := g.idle[e.ID]; len(list) > 0; list = g.idle[e.ID] {
+		conn := list[len(list)-1]
+		g.idle[e.ID] = list[:len(list)-1]
+		if conn.Addr() == e.Addr && conn.Alive() {
+			return conn
+		}
+		g.do(Shut{conn})
+	}
+	return nil
+}
+
+// connected sends a call on its new connection. If its destination told a wait meanwhile, or the endpoint is
+// no longer listed as ready, the connection is kept and the module asked again.
+func (g *Gateway) connected(now float64, e Connected) {
+	c := e.Call
+	if e.Conn == nil {
+		g.ended(now, c, push.All(len(c.Items), e.End))
+		return
+	}
+	listed, _ := g.dir.Find(c.Items[0].Dest, c.Endpoint.ID)
+	if listed.Stage != directory.Ready || g.waits[c.Items[0].Dest] > c.placed || g.stopped {
+		g.keep(c.Endpoint, e.Conn)
+		g.ended(now, c, push.All(len(c.Items), push.GivenBack))
+		return
+	}
+	g.begin(now, c, e.Conn)
+}
+
+func (g *Gateway) begin(now float64, c *Call, conn *push.Conn) {
+	c.Conn = conn
+	var records []ledger.Record
+	for _, m := range c.Items {
+		records = append(records, ledger.Record{Kind: ledger.Began, ID: m.ID, At: now, To: c.Endpoint.ID})
+	}
+	g.do(Begin{c, records, max(0, c.until-now)})
+}
+
+// ended takes in how a call ended, for each of its messages.
+func (g *Gateway) ended(now float64, c *Call, a push.Answer) {
+	if c.Conn != nil && a.Reusable {
+		g.keep(c.Endpoint, c.Conn)
+	}
+	if a.Wait > 0 {
+		g.waits[c.Items[0].Dest] = now
+	}
+	var records []ledger.Record
+	for i, m := range c.Items {
+		kind := ledger.NotRun
+		if o := a.Ends[i].Outcome(); o.Over {
+			kind = ledger.Over
+		} else if a.Ends[i].MayHaveRun() {
+			kind = ledger.MayRun
+		}
+		records = append(records, ledger.Record{Kind: kind, ID: m.ID})
+	}
+	g.do(Keep{records})
+	for i, m := range c.Items {
+		g.hand[m.ID].call = nil
+		o := a.Ends[i].Outcome()
+		o.Ntf, o.Endpoint, o.Latency, o.Wait = m.ID, c.Endpoint.ID, now-c.placed, a.Wait
+		o.Reported, o.Share, o.Limit = a.Reported, a.Share, a.Limit
+		g.answer(now, g.module.After(now, o))
+		if o.Over {
+			delete(g.hand, m.ID)
+		}
+	}
+}
+
+func (g *Gateway) keep(e directory.Endpoint, conn *push.Conn) {
+	g.idle[e.ID] = append(g.idle[e.ID], conn)
+}
+
+// over lets go of a message that needs nothing more but to be told of.
+func (g *Gateway) over(now float64, id string) {
+	g.answer(now, g.module.After(now, decide.Outcome{Ntf: id, Result: decide.Withdrawn, Over: true}))
+	delete(g.hand, id)
+}
+
+func (g *Gateway) do(e Effect) { g.effects = append(g.effects, e) }
+
+func (g *Gateway) done() []Effect {
+	list := g.effects
+	g.effects = nil
+	return list
+}
--- /dev/null
+++ b/gateway/run.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"math"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"orchiddrift/ledger"
+	"orchiddrift/push"
+)
+
+// Platform is where the list comes from and notices go.
+type Platform interface {
+	Watch(tell func(Event))
+	Fetch(tell func(Event))
+	Notify(n Notify, tell func(Event))
+}
+
+// Runner carries out what a gateway asks for, and brings it what happens.
+type Runner struct {
+	Gateway  *Gateway
+	Ledger   *ledger.Ledger
+	Platform Platform
+	Clock    func() float64
+	Tick     float64 // the least seconds between two rounds of turns
+	Log      zerolog.Logger
+	Events   chan Event
+}
+
+// Run takes in events and lets notifications go as their turns come, until stop is closed.
+func (r *Runner) Run(stop <-chan struct{}) {
+	timer := time.NewTimer(0)
+	turned := math.Inf(-1)
+	for {
+		select {
+		case <-stop:
+			return
+		case e := <-r.Events:
+			r.step(e)
+		case <-timer.C:
+			turned = r.Clock()
+			effects, wait := r.Gateway.Turns(turned)
+			r.carryOut(effects)
+			timer.Reset(time.Duration(min(wait, 60) * float64(time.Second)))
+			continue
+		}
+		timer.Reset(time.Duration(max(0, turned+r.Tick-r.Clock()) * float64(time.Second)))
+	}
+}
+
+// Restore takes back what is owed since before a restart.
+func (r *Runner) Restore(owed []ledger.Owed) { r.carryOut(r.Gateway.Restore(r.Clock(), owed)) }
+
+// Tell hands an event to the loop.
+func (r *Runner) Tell(e Event) { r.Events <- e }
+
+func (r *Runner) step(e Event) {
+	r.log(e)
+	r.carryOut(r.Gateway.Step(r.Clock(), e))
+}
+
+func (r *Runner) carryOut(effects []Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Accept:
+			if r.write(ledger.Record{Kind: ledger.Taken, ID: e.Message.ID, Message: e.Message}) {
+				e.Reply(Reply{Taken: true})
+			} else {
+				e.Reply(Reply{})
+				r.step(Unkept{e.Message.ID})
+			}
+		case Answer:
+			e.To(e.Reply)
+		case Keep:
+			r.write(e.Records...)
+		case Dial:
+			go func() {
+				conn, end := push.Dial(e.Call.Endpoint.Addr, e.Within)
+				r.Tell(Connected{e.Call, conn, end})
+			}()
+		case Begin:
+			if !r.write(e.Records...) {
+				e.Call.Conn.Close()
+				r.step(Ended{e.Call, push.All(len(e.Call.Items), push.GivenBack)})
+				continue
+			}
+			go func() { r.Tell(Ended{e.Call, e.Call.Conn.Send(e.Call.Items, e.Within)}) }()
+		case Shut:
+			e.Conn.Close()
+		case Notify:
+			r.Log.Info().Str("ntf", e.ID).Str("outcome", e.Outcome).Float64("retry_in", e.RetryIn).Msg("notice")
+			r.Platform.Notify(e, r.Tell)
+		case Watch:
+			r.Platform.Watch(r.Tell)
+		case Fetch:
+			r.Platform.Fetch(r.Tell)
+		}
+	}
+}
+
+// write puts records into the ledger and tells whether they are there.
+func (r *Runner) write(records ...ledger.Record) bool {
+	if err := r.Ledger.Write(records...); err != nil {
+		r.Log.Error().Err(err).Msg("ledger not written")
+		return false
+	}
+	return true
+}
+
+// log writes the lines that on-call staff read.
+func (r *Runner) log(e Event) {
+	switch e := e.(type) {
+	case Ended:
+		for i, m := range e.Call.Items {
+			if end := e.Answer.Ends[i]; end != push.Done {
+				r.Log.Info().Str("ntf", m.ID).Str("topic", m.Topic).Str("dest", m.Dest).
+					Str("endpoint", e.Call.Endpoint.ID).Stringer("end", end).Float64("wait", e.Answer.Wait).
+					Float64("after", r.Clock()-e.Call.placed).Msg("push not delivered")
+			}
+		}
+	case Connected:
+		if e.Conn == nil {
+			r.Log.Info().Str("endpoint", e.Call.Endpoint.ID).Str("dest", e.Call.Endpoint.Dest).
+				Stringer("end", e.End).Msg("no connection")
+		}
+	case Listed:
+		r.Log.Info().Bool("full", e.Full).Int("entries", len(e.Endpoints)).Msg("list")
+	case ListLost:
+		r.Log.Warn().Msg("list not told")
+	case Stopping:
+		r.Log.Info().Int("held", r.Gateway.Held()).Msg("no push starts any more")
+	}
+}
--- /dev/null
+++ b/intake/intake.go
@@ -0,0 +1,124 @@
+// Package intake takes messages from clients: a request is decoded once into a message, and answered once.
+package intake
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"orchiddrift/gateway"
+	"orchiddrift/message"
+)
+
+const (
+	mostBody = 64 << 10
+	idleFor  = time.Minute
+	slowRead = 10 * time.Second
+)
+
+// Server answers clients.
+type Server struct {
+	clock func() float64
+	knows func(topic string) bool
+	tell  func(gateway.Event)
+	http  *fasthttp.Server
+}
+
+// NewServer returns a server that hands each message to tell, and holds so many connections at most.
+func NewServer(clock func() float64, knows func(string) bool, tell func(gateway.Event), conns int) *Server {
+	s := &Server{clock: clock, knows: knows, tell: tell}
+	s.http = &fasthttp.Server{Handler: s.handle, Concurrency: conns, MaxRequestBodySize: mostBody,
+		IdleTimeout: idleFor, ReadTimeout: slowRead, WriteTimeout: slowRead, NoDefaultServerHeader: true,
+		NoDefaultContentType: true, CloseOnShutdown: true, Logger: quiet{}}
+	return s
+}
+
+// Serve answers on an address until Close.
+func (s *Server) Serve(addr string) error { return s.http.ListenAndServe(addr) }
+
+// Close takes no new connections and no new requests; those that were read are answered.
+func (s *Server) Close() error { return s.http.Shutdown() }
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	switch path := string(ctx.Path()); {
+	case path == "/_health" && ctx.IsGet():
+		ctx.SetStatusCode(fasthttp.StatusOK)
+	case path != "/api" && path != "/_health":
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	case path != "/api" || !ctx.IsPost():
+		ctx.SetStatusCode(fasthttp.StatusMethodNotAllowed)
+	default:
+		s.take(ctx)
+	}
+}
+
+// take hands in the message of a request and answers with what becomes of it.
+func (s *Server) take(ctx *fasthttp.RequestCtx) {
+	m, err := s.decode(ctx)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	reply := make(chan gateway.Reply, 1)
+	s.tell(gateway.Arrived{Message: m, Reply: func(r gateway.Reply) { reply <- r }})
+	r := <-reply
+	if r.Taken {
+		ctx.SetStatusCode(fasthttp.StatusAccepted)
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	if r.RetryIn > 0 {
+		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(r.RetryIn, 'f', 3, 64))
+	}
+}
+
+// decode reads the message of a request. It keeps no part of the request itself.
+func (s *Server) decode(ctx *fasthttp.RequestCtx) (*message.Message, error) {
+	h := &ctx.Request.Header
+	m := &message.Message{Mark: string(h.Peek("Idempotency-Key")), Body: append([]byte(nil), ctx.PostBody()...)}
+	m.ID, m.Topic, m.Tenant = string(h.Peek("X-Call-Id")), string(h.Peek("X-Call-Class")), string(h.Peek("X-Caller"))
+	m.Key = string(h.Cookie("about"))
+	if m.ID == "" {
+		return nil, errors.New("X-Call-Id is missing")
+	}
+	if !s.knows(m.Topic) {
+		return nil, fmt.Errorf("X-Call-Class %q is not known", m.Topic)
+	}
+	for _, pair := range strings.FieldsFunc(string(h.Peek("X-Addressing")), separator) {
+		if name, value, _ := strings.Cut(pair, "="); name == "dest" {
+			m.Dest = value
+		}
+	}
+	if _, err := strconv.ParseUint(m.Dest, 10, 64); err != nil {
+		return nil, errors.New("X-Addressing names no dest")
+	}
+	left, err := span(string(h.Peek("X-Budget")))
+	if err != nil {
+		return nil, err
+	}
+	m.Until = s.clock() + left
+	return m, nil
+}
+
+func separator(r rune) bool { return r == ' ' || r == ',' || r == ';' }
+
+// span reads a time: a number and its unit, m for milliseconds or u for microseconds.
+func span(text string) (float64, error) {
+	per := map[string]float64{"m": 1e3, "u": 1e6}
+	if n := len(text) - 1; n > 0 {
+		v, err := strconv.ParseFloat(text[:n], 64)
+		if scale := per[text[n:]]; err == nil && scale > 0 && v >= 0 && v < 1e12 {
+			return v / scale, nil
+		}
+	}
+	return 0, fmt.Errorf("X-Budget cannot be %q", text)
+}
+
+// quiet drops the library's own lines: a client that goes away is no news.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
--- /dev/null
+++ b/ledger/record.go
@@ -0,0 +1,141 @@
+package ledger
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+	"math"
+
+	"orchiddrift/message"
+)
+
+// Kind says what a record tells of its notification.
+type Kind byte
+
+// The kinds of record.
+const (
+	Taken   Kind = iota + 1 // taken on, with all of it
+	Began                   // a push is about to be written
+	NotRun                  // the push that was out never ran
+	MayRun                  // the push that was out may have run
+	Noticed                 // it is to be ended by a notice
+	Over                    // nothing more is owed
+)
+
+// Record is one line of the ledger.
+type Record struct {
+	Kind    Kind
+	ID      string
+	Message *message.Message // Taken
+	At      float64          // Began: when
+	To      string           // Began: the endpoint
+	Outcome string           // Noticed: its wording
+	RetryIn float64          // Noticed: seconds, 0 for none
+	Pushes  int              // Taken, rewritten: pushes so far
+}
+
+const frame = 8 // a record's length and checksum
+
+var errTorn = errors.New("torn record")
+
+// encode appends a record to b: its length, its checksum, its fields.
+func encode(b []byte, r Record) []byte {
+	at := len(b)
+	b = append(b, make([]byte, frame)...)
+	b = append(b, byte(r.Kind))
+	b = putText(b, r.ID)
+	switch r.Kind {
+	case Taken:
+		m := r.Message
+		for _, s := range []string{m.Topic, m.Tenant, m.Dest, m.Key, m.Mark, m.RanTo, string(m.Body)} {
+			b = putText(b, s)
+		}
+		b = putFloat(putFloat(b, m.Until), m.RanAt)
+		b = binary.AppendUvarint(b, uint64(r.Pushes))
+	case Began:
+		b = putText(putFloat(b, r.At), r.To)
+	case Noticed:
+		b = putFloat(putText(b, r.Outcome), r.RetryIn)
+	}
+	body := b[at+frame:]
+	binary.LittleEndian.PutUint32(b[at:], uint32(len(body)))
+	binary.LittleEndian.PutUint32(b[at+4:], crc32.ChecksumIEEE(body))
+	return b
+}
+
+// decode reads the first record of b and tells its length.
+func decode(b []byte) (Record, int, error) {
+	if len(b) < frame {
+		return Record{}, 0, errTorn
+	}
+	n := int(binary.LittleEndian.Uint32(b))
+	if n < 1 || n > len(b)-frame || crc32.ChecksumIEEE(b[frame:frame+n]) != binary.LittleEndian.Uint32(b[4:]) {
+		return Record{}, 0, errTorn
+	}
+	f := &fields{b: b[frame+1 : frame+n]}
+	r := Record{Kind: Kind(b[frame]), ID: f.text()}
+	switch r.Kind {
+	case Taken:
+		m := &message.Message{}
+		m.ID = r.ID
+		for _, s := range []*string{&m.Topic, &m.Tenant, &m.Dest, &m.Key, &m.Mark, &m.RanTo} {
+			*s = f.text()
+		}
+		m.Body = []byte(f.text())
+		m.Until, m.RanAt = f.float(), f.float()
+		r.Message, r.Pushes = m, int(f.uint())
+	case Began:
+		r.At, r.To = f.float(), f.text()
+	case Noticed:
+		r.Outcome, r.RetryIn = f.text(), f.float()
+	}
+	if f.short {
+		return Record{}, 0, errTorn
+	}
+	return r, frame + n, nil
+}
+
+func putText(b []byte, s string) []byte {
+	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
+}
+
+func putFloat(b []byte, v float64) []byte {
+	return binary.LittleEndian.AppendUint64(b, math.Float64bits(v))
+}
+
+// fields reads a record's fields one after another; short tells that it held too little.
+type fields struct {
+	b     []byte
+	short bool
+}
+
+func (f *fields) uint() uint64 {
+	v, n := binary.Uvarint(f.b)
+	if n <= 0 {
+		f.short, f.b = true, nil
+		return 0
+	}
+	f.b = f.b[n:]
+	return v
+}
+
+func (f *fields) text() string {
+	n := f.uint()
+	if n > uint64(len(f.b)) {
+		f.short, f.b = true, nil
+		return ""
+	}
+	s := string(f.b[:n])
+	f.b = f.b[n:]
+	return s
+}
+
+func (f *fields) float() float64 {
+	if len(f.b) < 8 {
+		f.short, f.b = true, nil
+		return 0
+	}
+	v := math.Float64frombits(binary.LittleEndian.Uint64(f.b))
+	f.b = f.b[8:]
+	return v
+}
--- /dev/null
+++ b/message/message.go
@@ -0,0 +1,12 @@
+// Package message holds a notification as a client handed it in, decoded once.
+package message
+
+import "orchiddrift/decide"
+
+// Message is a notification with what its endpoint gets.
+type Message struct {
+	decide.Notification
+	Until float64 // when its TTL ends, Unix time in seconds
+	Mark  string  // the idempotency key, "" for none
+	Body  []byte
+}
--- /dev/null
+++ b/push/call.go
@@ -0,0 +1,144 @@
+package push
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"orchiddrift/message"
+)
+
+const mostBody = 1 << 20
+
+// Answer tells how a call ended: one end for each message, in their order, and what the endpoint told.
+type Answer struct {
+	Ends     []End
+	Wait     float64 // seconds, 0 for none
+	Reported bool
+	Share    float64
+	Limit    float64
+	Reusable bool // the connection can carry another call
+}
+
+// All is the answer in which all of n messages ended alike.
+func All(n int, end End) Answer {
+	a := Answer{Ends: make([]End, n)}
+	for i := range a.Ends {
+		a.Ends[i] = end
+	}
+	return a
+}
+
+// Send writes one call with the messages and waits so many seconds for its answer. A connection that cannot be
+// used again is closed.
+func (c *Conn) Send(list []*message.Message, wait float64) Answer {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	encode(req, c.addr, list, wait)
+	end, reusable := c.exchange(req, resp, time.Now().Add(seconds(wait)))
+	if !reusable {
+		c.Close()
+	}
+	a := All(len(list), end)
+	if end > Unreadable {
+		return a
+	}
+	a.Reusable = reusable
+	a.Wait = number(string(resp.Header.Peek("Retry-After")))
+	a.Share, a.Limit, a.Reported = report(string(resp.Header.Peek("X-Load-Report")))
+	if end == Done && len(list) > 1 {
+		a.Ends = states(resp.Body(), list)
+	}
+	return a
+}
+
+// encode writes the request: a call of its own for one message, a list for several.
+func encode(req *fasthttp.Request, addr string, list []*message.Message, wait float64) {
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetHost(addr)
+	req.Header.SetNoDefaultContentType(true)
+	req.Header.Set("X-Budget", strconv.Itoa(int(wait*1000))+"m")
+	if len(list) == 1 {
+		req.SetRequestURI("/hook")
+		req.Header.Set("X-Call-Id", list[0].ID)
+		if list[0].Mark != "" {
+			req.Header.Set("Idempotency-Key", list[0].Mark)
+		}
+		req.SetBodyRaw(list[0].Body)
+		return
+	}
+	type line struct {
+		ID   string `json:"id"`
+		Key  string `json:"key,omitempty"`
+		Body []byte `json:"body"`
+	}
+	lines := make([]line, len(list))
+	for i, m := range list {
+		lines[i] = line{m.ID, m.Mark, m.Body}
+		if m.Body == nil {
+			lines[i].Body = []byte{}
+		}
+	}
+	body, _ := json.Marshal(lines) // strings and bytes always marshal
+	req.SetRequestURI("/hook/batch")
+	req.Header.SetContentType("application/json")
+	req.SetBodyRaw(body)
+}
+
+var stateEnds = map[string]End{"done": Done, "failed": Erred, "busy": TurnedAway, "void": Void, "used_up": Spent}
+
+// states reads how each message of a call ended; one that is not named, or in a way not known, may have run.
+func states(body []byte, list []*message.Message) []End {
+	var lines []struct {
+		ID    string `json:"id"`
+		State string `json:"state"`
+	}
+	told := map[string]End{}
+	if json.Unmarshal(body, &lines) == nil {
+		for _, l := range lines {
+			if end, ok := stateEnds[l.State]; ok {
+				told[l.ID] = end
+			}
+		}
+	}
+	ends := make([]End, len(list))
+	for i, m := range list {
+		end, ok := told[m.ID]
+		if !ok {
+			end = Unreadable
+		}
+		ends[i] = end
+	}
+	return ends
+}
+
+// report reads a load report, "TEXT x0=0.4, x1=25"; one that lacks a figure or has an odd one is no report.
+func report(text string) (share, limit float64, ok bool) {
+	seen := map[string]float64{}
+	for _, word := range strings.FieldsFunc(text, func(r rune) bool { return r == ' ' || r == ',' }) {
+		if name, value, cut := strings.Cut(word, "="); cut {
+			v, err := strconv.ParseFloat(value, 64)
+			if err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+				return 0, 0, false
+			}
+			seen[name] = v
+		}
+	}
+	share, a := seen["x0"]
+	limit, b := seen["x1"]
+	return share, limit, a && b
+}
+
+// number reads a count of seconds; 0 stands for none, and for one that cannot be read.
+func number(text string) float64 {
+	v, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+		return 0
+	}
+	return v
+}
--- /dev/null
+++ b/push/conn.go
@@ -0,0 +1,111 @@
+// Package push carries calls to endpoints: a connection each, one call at a time, and nothing sent again.
+package push
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Conn is a connection to an endpoint.
+type Conn struct {
+	addr string
+	net  net.Conn
+	in   *bufio.Reader
+	out  *bufio.Writer
+	shut atomic.Bool // by us
+}
+
+// Dial opens a connection within so many seconds.
+func Dial(addr string, within float64) (*Conn, End) {
+	c, err := net.DialTimeout("tcp", addr, seconds(within))
+	if err != nil {
+		if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
+			return nil, NeverUp
+		}
+		return nil, Refused
+	}
+	return &Conn{addr: addr, net: c, in: bufio.NewReaderSize(c, 4<<10), out: bufio.NewWriterSize(c, 4<<10)}, Done
+}
+
+// Alive tells that the other side has neither closed an idle connection nor written to it.
+func (c *Conn) Alive() bool {
+	raw, err := c.net.(syscall.Conn).SyscallConn()
+	if err != nil || c.in.Buffered() > 0 {
+		return false
+	}
+	alive := false
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		alive = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && alive
+}
+
+// Addr is where it leads.
+func (c *Conn) Addr() string { return c.addr }
+
+// Close ends it, and with it a call that is out on it.
+func (c *Conn) Close() {
+	c.shut.Store(true)
+	_ = c.net.Close()
+}
+
+// exchange writes a request and reads its answer until the deadline. The last result tells whether the
+// connection can carry another call.
+func (c *Conn) exchange(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) (End, bool) {
+	if c.net.SetDeadline(deadline) != nil {
+		return BrokeEarly, false
+	}
+	if err := req.Write(c.out); err != nil {
+		return BrokeEarly, false
+	}
+	if err := c.out.Flush(); err != nil {
+		return BrokeEarly, false
+	}
+	if err := resp.Header.Read(c.in); err != nil {
+		switch {
+		case c.shut.Load():
+			return CutOff, false
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return Silent, false
+		case c.in.Buffered() > 0:
+			return Unreadable, false
+		}
+		return BrokeLate, false
+	}
+	// The first line has come: what follows cannot undo it.
+	err := resp.ReadBody(c.in, mostBody)
+	return answers(resp), err == nil && !resp.ConnectionClose()
+}
+
+// answers reads the status line and what goes with it.
+func answers(resp *fasthttp.Response) End {
+	switch resp.StatusCode() {
+	case fasthttp.StatusOK:
+		return Done
+	case fasthttp.StatusTooManyRequests:
+		return TurnedAway
+	case fasthttp.StatusServiceUnavailable:
+		if len(resp.Header.Peek("X-Over-Slots")) > 0 {
+			return OverSlots
+		}
+		return TurnedAway
+	case fasthttp.StatusGatewayTimeout:
+		return Spent
+	case fasthttp.StatusGone:
+		return Void
+	case fasthttp.StatusInternalServerError:
+		return Erred
+	}
+	return Unreadable
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/settings/module.go
@@ -0,0 +1,69 @@
+package settings
+
+import (
+	"fmt"
+
+	"orchiddrift/decide"
+	"orchiddrift/directory"
+)
+
+// Module starts a decision module from a seed, with each of its parts' own settings.
+func (s *Values) Module(seed uint64, dir *directory.Directory) (*decide.Module, error) {
+	apart := map[string]bool{}
+	kinds := s.List("kinds")
+	for i, alone := range s.List("family-info.separate-routes") {
+		if i < len(kinds) {
+			apart[kinds[i]] = alone == "true"
+		}
+	}
+	zones, fee := s.List("azs"), map[string]float64{}
+	for i, f := range s.Floats("family-info.fee-by-zone") {
+		if i < len(zones) {
+			fee[zones[i]] = f
+		}
+	}
+	shares := decide.Shares{Rate: map[string]float64{}, Beyond: s.FloatOr("over-share-worth", 1)}
+	for i := range int(s.FloatOr("tenants.count", 0)) {
+		at := fmt.Sprintf("tenants.%d.", i)
+		shares.Rate[s.Text(at+"name")] = s.Float(at + "quota-rps")
+	}
+	m := decide.New(seed, dir, s.topics(),
+		decide.Slots{Calls: s.Int("family-info.max-calls"), Held: s.Int("policy-limits.most-held"), Batch: s.Batch()},
+		decide.Routes{Apart: apart, Fee: fee},
+		decide.Returns{ColdFrom: s.Float("guarantees.cold-from"), ColdSpan: s.Seconds("guarantees.cold-ms"),
+			Multiple: s.Float("guarantees.overload-factor"), FallAfter: s.Seconds("guarantees.fall-ms"),
+			Dispatchers: s.Int("balancers"), Rough: s.Text("weight-kind") == "rough"},
+		decide.Pushes{Most: s.Int("policy-limits.max-attempts"),
+			Settle: s.FloatOr("guarantees.turn-gap-ms", 0) / 1000, Tick: s.Seconds("tick-ms"),
+			IdleClose: s.FloatOr("policy-limits.idle-close-ms", 0) / 1000},
+		shares, s.Asked())
+	return m, s.err
+}
+
+// Batch gives by kind how many notifications may share a call.
+func (s *Values) Batch() map[string]int {
+	kinds, batch := s.List("kinds"), map[string]int{}
+	for i, b := range s.Floats("family-info.batch-by-kind") {
+		if i < len(kinds) {
+			batch[kinds[i]] = int(b)
+		}
+	}
+	return batch
+}
+
+// Asked tells that the list answers only when asked.
+func (s *Values) Asked() bool { return s.Text("membership-mode") == "ask" }
+
+func (s *Values) topics() []decide.Topic {
+	var list []decide.Topic
+	for i := range s.Int("classes.count") {
+		at := fmt.Sprintf("classes.%d.", i)
+		list = append(list, decide.Topic{
+			Name: s.Text(at + "name"), Repeat: decide.Repeat(s.Text(at + "repeat")),
+			Memory: s.FloatOr(at+"memory-span-ms", 0) / 1000, Group: s.Text(at + "group"),
+			Objective: s.Seconds(at + "promise-ms"), TTL: s.Seconds(at + "deadline-ms"),
+			Benefit: s.Float(at + "importance"), LateBenefit: s.FloatOr(at+"late-worth", 0),
+			Ordered: s.Bool(at + "sequential")})
+	}
+	return list
+}
