--- a/cmd/orchiddrift/main.go
+++ b/cmd/orchiddrift/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -21,11 +22,12 @@
 	"orchiddrift/platform"
 )
 
-// A planned stop: clients are answered for so long after SIGTERM, then pushes go on, then those out may end.
+// A planned stop, counted from SIGTERM: clients are taken in until the first moment, pushes start until the
+// second, and those out may end until the third.
 const (
-	answerFor = 500 * time.Millisecond
-	pushFor   = 2 * time.Second
-	endWithin = 1300 * time.Millisecond
+	clientsUntil = 500 * time.Millisecond
+	startsUntil  = 2200 * time.Millisecond
+	endsUntil    = 3400 * time.Millisecond
 )
 
 func main() {
@@ -72,25 +74,41 @@
 
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
 	server := intake.NewServer(clock, module.Knows, r.Tell, c.Limits.Sockets/2)
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(c.Listen) }()
-	stop := make(chan struct{})
+	stop, failed := make(chan struct{}), make(chan error, 1)
+	go func() {
+		if err := server.Serve(ln); err != nil {
+			failed <- err
+			close(stop)
+		}
+	}()
 	go func() {
 		<-signals
+		begun := time.Now()
 		log.Info().Msg("stopping")
+		server.Leave()
+		time.Sleep(clientsUntil - time.Since(begun))
+		go func() {
+			_ = server.Close() // it waits for those that are still answered
+			r.Tell(gateway.Leaving{})
+		}()
+		time.Sleep(startsUntil - time.Since(begun))
 		r.Tell(gateway.Stopping{})
-		time.Sleep(answerFor)
+		time.Sleep(endsUntil - time.Since(begun))
 		close(stop)
 	}()
 	r.Run(stop)
+	log.Info().Int("held", r.Gateway.Held()).Msg("end")
 	select {
 	case err := <-failed:
 		return err
 	default:
+		return nil
 	}
-	_ = server.Close()
-	return book.Close()
 }
 
 // sinceStart is a clock in Unix seconds that only moves forward.
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -7,7 +7,8 @@
 	"orchiddrift/push"
 )
 
-// Event is something that happened: Arrived, Unkept, Connected, Ended, Listed, ListLost, Noticed or Stopping.
+// Event is something that happened: Arrived, Unkept, Connected, Ended, Listed, ListLost, Noticed, Leaving or
+// Stopping.
 type Event interface{ event() }
 
 // Arrived is a message that a client handed in. Reply is called once.
@@ -44,7 +45,10 @@
 // Noticed tells that the platform has answered a notice.
 type Noticed struct{ ID string }
 
-// Stopping tells that the process is to end: no push starts any more.
+// Leaving tells that the process is to end and no client comes any more.
+type Leaving struct{}
+
+// Stopping tells that no push may start any more: it could not end in time.
 type Stopping struct{}
 
 func (Arrived) event()   {}
@@ -54,6 +58,7 @@
 func (Listed) event()    {}
 func (ListLost) event()  {}
 func (Noticed) event()   {}
+func (Leaving) event()   {}
 func (Stopping) event()  {}
 
 // Reply is what a client is told.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,7 @@
 	idle    map[string][]*push.Conn // by endpoint, the latest used last
 	waits   map[string]float64      // by destination: when it last told a wait
 	forming []*Call                 // the calls of this turn
+	leaving bool
 	stopped bool
 	effects []Effect
 }
@@ -74,6 +75,16 @@
 // Held tells how many messages are in hand.
 func (g *Gateway) Held() int { return len(g.hand) }
 
+// Finished tells that the process can end now: the ledger keeps the rest.
+func (g *Gateway) Finished() bool {
+	for _, it := range g.hand {
+		if !g.stopped || it.call != nil || it.ending {
+			return false
+		}
+	}
+	return g.leaving
+}
+
 // Step takes in an event.
 func (g *Gateway) Step(now float64, e Event) []Effect {
 	switch e := e.(type) {
@@ -96,6 +107,8 @@
 	case Noticed:
 		g.do(Keep{[]ledger.Record{{Kind: ledger.Over, ID: e.ID}}})
 		g.over(now, e.ID)
+	case Leaving:
+		g.leaving = true
 	case Stopping:
 		g.stopped = true
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -28,11 +28,12 @@
 	Events   chan Event
 }
 
-// Run takes in events and lets notifications go as their turns come, until stop is closed.
+// Run takes in events and lets notifications go as their turns come, until the gateway has finished or stop
+// is closed.
 func (r *Runner) Run(stop <-chan struct{}) {
 	timer := time.NewTimer(0)
 	turned := math.Inf(-1)
-	for {
+	for !r.Gateway.Finished() {
 		select {
 		case <-stop:
 			return
@@ -128,6 +129,8 @@
 		r.Log.Info().Bool("full", e.Full).Int("entries", len(e.Endpoints)).Msg("list")
 	case ListLost:
 		r.Log.Warn().Msg("list not told")
+	case Leaving:
+		r.Log.Info().Int("held", r.Gateway.Held()).Msg("no client comes any more")
 	case Stopping:
 		r.Log.Info().Int("held", r.Gateway.Held()).Msg("no push starts any more")
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -4,8 +4,10 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -26,6 +28,7 @@
 	knows func(topic string) bool
 	tell  func(gateway.Event)
 	http  *fasthttp.Server
+	leave atomic.Bool
 }
 
 // NewServer returns a server that hands each message to tell, and holds so many connections at most.
@@ -37,13 +40,19 @@
 	return s
 }
 
-// Serve answers on an address until Close.
-func (s *Server) Serve(addr string) error { return s.http.ListenAndServe(addr) }
+// Serve answers on a listener until Close.
+func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
+
+// Leave closes each client's connection with its next answer, so that the client goes elsewhere.
+func (s *Server) Leave() { s.leave.Store(true) }
 
 // Close takes no new connections and no new requests; those that were read are answered.
 func (s *Server) Close() error { return s.http.Shutdown() }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if s.leave.Load() {
+		ctx.SetConnectionClose()
+	}
 	switch path := string(ctx.Path()); {
 	case path == "/_health" && ctx.IsGet():
 		ctx.SetStatusCode(fasthttp.StatusOK)
