--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -545,3 +545,48 @@
 	// 6.10  push A3 to A
 	// 6.10  push A4 to A
 }
+
+// After a restart: what may have run before is not pushed again unless it may be, the once-only one expires, and
+// the key of one whose notice is not answered yet waits for that. Pushes used before count.
+func Example_restart() {
+	d := newDesk(6, 1, "A", "B", "C", "D")
+	d.restore("order", "A1", decide.Notification{Ending: true})
+	d.restore("order", "A1'", decide.Notification{})
+	d.restore("reading", "B1", decide.Notification{Pushes: 7, RanAt: 98, RanTo: "B"})
+	d.restore("order", "C1", decide.Notification{Pushes: 1, RanAt: 98, RanTo: "C"})
+	d.restore("order", "C1'", decide.Notification{})
+	d.restore("tally", "D1", decide.Notification{Pushes: 1, RanAt: 94, RanTo: "D"})
+	d.at(0)
+	d.ended("B", failed, "B1")
+	d.at(0.1)
+	d.m.After(d.now, decide.Outcome{Ntf: "A1", Result: decide.Withdrawn, Over: true})
+	d.at(0.2)
+	d.at(1)
+	// Output:
+}
+
+// A final answer that was not heard yet keeps its key.
+func Example_unheard() {
+	d := newDesk(6, 40, "A")
+	d.unheard = true
+	d.take("order", "A1", "A1'")
+	d.at(0)
+	d.ended("A", failed, "A1")
+	d.at(0.1)
+	d.m.After(d.now, decide.Outcome{Ntf: "A1", Result: decide.Withdrawn, Over: true})
+	d.at(0.2)
+	// Output:
+}
+
+// A wait binds with whatever answer it stands: here one of a shared call was delivered.
+func Example_waitWithDelivery() {
+	d := newDesk(6, 40, "A")
+	d.take("reading", "A1")
+	d.at(0)
+	d.ended("A", decide.Outcome{Result: decide.Delivered, Wait: 0.7}, "A1")
+	d.take("reading", "A2")
+	d.at(0.1)
+	d.waits()
+	d.at(0.8)
+	// Output:
+}
--- a/decide/helpers_test.go
+++ b/decide/helpers_test.go
@@ -55,6 +55,16 @@
 	}
 }
 
+// restore hands in what is owed since before a restart.
+func (d *desk) restore(topic, id string, was decide.Notification) {
+	was.ID, was.Topic, was.Dest, was.Left, was.Owed = id, topic, id[:1], 20, true
+	if topic == "order" {
+		was.Key = id[1:2]
+	}
+	d.hand[id] = was
+	d.print(d.m.Place(d.now, was))
+}
+
 // at moves the clock on and lets all go whose turn has come.
 func (d *desk) at(now float64) {
 	d.now = 100 + now
