A push that nobody answers ends as silent, not as a broken connection

At fault: push/conn.go compared the error with os.ErrDeadlineExceeded, which fasthttp's header reader replaces by its own; now any error that says Timeout() counts. Also: a first line with 200 is a delivery whatever becomes of the rest; unreadable requests get 400.

--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -553,8 +553,8 @@
 	d.restore("order", "A1", decide.Notification{Ending: true})
 	d.restore("order", "A1'", decide.Notification{})
 	d.restore("reading", "B1", decide.Notification{Pushes: 7, RanAt: 98, RanTo: "B"})
-	d.restore("order", "C1", decide.Notification{Pushes: 1, RanAt: 98, RanTo: "C"})
-	d.restore("order", "C1'", decide.Notification{})
+	d.restore("order", "C2", decide.Notification{Pushes: 1, RanAt: 98, RanTo: "C"})
+	d.restore("order", "C2'", decide.Notification{})
 	d.restore("tally", "D1", decide.Notification{Pushes: 1, RanAt: 94, RanTo: "D"})
 	d.at(0)
 	d.ended("B", failed, "B1")
@@ -563,6 +563,12 @@
 	d.at(0.2)
 	d.at(1)
 	// Output:
+	// 0.00  expire C2
+	// 0.00  throttle D1
+	// 0.00  push B1 to B
+	// 0.00  throttle B1
+	// 0.20  push A1' to A
+	// 1.00  push C2' to C
 }
 
 // A final answer that was not heard yet keeps its key.
@@ -576,6 +582,9 @@
 	d.m.After(d.now, decide.Outcome{Ntf: "A1", Result: decide.Withdrawn, Over: true})
 	d.at(0.2)
 	// Output:
+	// 0.00  push A1 to A
+	// 0.00  expire A1
+	// 0.20  push A1' to A
 }
 
 // A wait binds with whatever answer it stands: here one of a shared call was delivered.
@@ -589,4 +598,7 @@
 	d.waits()
 	d.at(0.8)
 	// Output:
+	// 0.00  push A1 to A
+	// 0.10  wait 0.60
+	// 0.80  push A2 to A
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -18,6 +18,7 @@
 
 const (
 	mostBody = 64 << 10
+	mostHead = 4 << 10
 	idleFor  = time.Minute
 	slowRead = 10 * time.Second
 )
@@ -35,8 +36,9 @@
 func NewServer(clock func() float64, knows func(string) bool, tell func(gateway.Event), conns int) *Server {
 	s := &Server{clock: clock, knows: knows, tell: tell}
 	s.http = &fasthttp.Server{Handler: s.handle, Concurrency: conns, MaxRequestBodySize: mostBody,
-		IdleTimeout: idleFor, ReadTimeout: slowRead, WriteTimeout: slowRead, NoDefaultServerHeader: true,
-		NoDefaultContentType: true, CloseOnShutdown: true, Logger: quiet{}}
+		ReadBufferSize: mostHead,
+		IdleTimeout:    idleFor, ReadTimeout: slowRead, WriteTimeout: slowRead, NoDefaultServerHeader: true,
+		NoDefaultContentType: true, CloseOnShutdown: true, Logger: quiet{}, ErrorHandler: unreadable}
 	return s
 }
 
@@ -49,6 +51,11 @@
 // Close takes no new connections and no new requests; those that were read are answered.
 func (s *Server) Close() error { return s.http.Shutdown() }
 
+// unreadable answers what is no request, or one that is too large.
+func unreadable(ctx *fasthttp.RequestCtx, err error) {
+	ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+}
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	if s.leave.Load() {
 		ctx.SetConnectionClose()
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -19,6 +19,7 @@
 const (
 	block   = 512     // files are counted in whole blocks
 	slop    = 4096    // kept free for the folder itself
+	rest    = 8192    // what else a notification's records may take
 	garbage = 1 << 16 // what may be over before the file is rewritten
 )
 
@@ -72,7 +73,7 @@
 
 // Room tells whether a new notification with so large a body fits, with some left for what will be told of it.
 func (l *Ledger) Room(body int) bool {
-	need := body + 2048
+	need := body + rest
 	return 2*(l.live+need) <= l.limit*7/8-slop
 }
 
--- a/push/conn.go
+++ b/push/conn.go
@@ -5,7 +5,7 @@
 	"bufio"
 	"errors"
 	"net"
-	"os"
+	"regexp"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -13,6 +13,8 @@
 	"github.com/valyala/fasthttp"
 )
 
+var doneLine = regexp.MustCompile(`^HTTP/1\.[01] 200\b[^\n]*\n`)
+
 // Conn is a connection to an endpoint.
 type Conn struct {
 	addr string
@@ -26,7 +28,7 @@
 func Dial(addr string, within float64) (*Conn, End) {
 	c, err := net.DialTimeout("tcp", addr, seconds(within))
 	if err != nil {
-		if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
+		if timedOut(err) {
 			return nil, NeverUp
 		}
 		return nil, Refused
@@ -71,17 +73,20 @@
 		return BrokeEarly, false
 	}
 	if err := resp.Header.Read(c.in); err != nil {
+		begun, _ := c.in.Peek(c.in.Buffered())
 		switch {
+		case doneLine.Match(begun): // delivered, whatever became of the rest
+			resp.SetStatusCode(fasthttp.StatusOK)
+			return Done, false
 		case c.shut.Load():
 			return CutOff, false
-		case errors.Is(err, os.ErrDeadlineExceeded):
+		case timedOut(err):
 			return Silent, false
-		case c.in.Buffered() > 0:
+		case len(begun) > 0:
 			return Unreadable, false
 		}
 		return BrokeLate, false
 	}
-	// The first line has come: what follows cannot undo it.
 	err := resp.ReadBody(c.in, mostBody)
 	return answers(resp), err == nil && !resp.ConnectionClose()
 }
@@ -108,4 +113,10 @@
 	return Unreadable
 }
 
+// timedOut tells a deadline that passed from what else can go wrong: libraries wrap it in errors of their own.
+func timedOut(err error) bool {
+	var e interface{ Timeout() bool }
+	return errors.As(err, &e) && e.Timeout()
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
