A shared call waits as long as any message in it may wait

At fault: gateway.join took the shortest. A time-out cannot be told for some while the connection is open (the next push would be a second copy), so the longest counts, bounded by each one's TTL. It could harm where a once-only message rides with repeatable ones to a partner that loses answers: those wait longer.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,7 +23,8 @@
 	Endpoint directory.Endpoint
 	Items    []*message.Message
 	Conn     *push.Conn // once it is sent, the connection that it is out on
-	until    float64    // when its wait is over
+	until    float64    // when the longest of its messages' waits is over
+	last     float64    // when the first of their TTLs ends
 	placed   float64
 }
 
@@ -43,6 +44,9 @@
 	effects []Effect
 }
 
+// left is how long the call may still wait.
+func (c *Call) left(now float64) float64 { return max(0, min(c.until, c.last)-now) }
+
 // item is a message in hand.
 type item struct {
 	message *message.Message
@@ -188,8 +192,9 @@
 	g.do(n)
 }
 
-// join puts a push into the latest call of this turn to its endpoint that has room, or into a new one. A
-// shared call ends for all when the first of them has waited its time.
+// join puts a push into the latest call of this turn to its endpoint that has room, or into a new one. A call
+// has one connection and so one end: it is waited for as long as any message in it may wait, but no longer than
+// each has left.
 func (g *Gateway) join(now float64, a decide.Answer) {
 	it := g.hand[a.Ntf]
 	until := now + a.Timeout
@@ -197,13 +202,14 @@
 		c := g.forming[i]
 		if c.Endpoint.ID == a.Endpoint && len(c.Items) < g.batch[c.Endpoint.Kind] {
 			c.Items = append(c.Items, it.message)
-			c.until = min(c.until, until)
+			c.until, c.last = max(c.until, until), min(c.last, it.message.Until)
 			it.call = c
 			return
 		}
 	}
 	e, _ := g.dir.Find(it.message.Dest, a.Endpoint)
-	it.call = &Call{Endpoint: e, Items: []*message.Message{it.message}, until: until, placed: now}
+	it.call = &Call{Endpoint: e, Items: []*message.Message{it.message}, until: until, last: it.message.Until,
+		placed: now}
 	g.forming = append(g.forming, it.call)
 }
 
@@ -213,7 +219,7 @@
 		if conn := g.reuse(c.Endpoint); conn != nil {
 			g.begin(now, c, conn)
 		} else {
-			g.do(Dial{c, min(g.dial, c.until-now)})
+			g.do(Dial{c, min(g.dial, c.left(now))})
 		}
 	}
 	g.forming = nil
@@ -255,7 +261,7 @@
 	for _, m := range c.Items {
 		records = append(records, ledger.Record{Kind: ledger.Began, ID: m.ID, At: now, To: c.Endpoint.ID})
 	}
-	g.do(Begin{c, records, max(0, c.until-now)})
+	g.do(Begin{c, records, c.left(now)})
 }
 
 // ended takes in how a call ended, for each of its messages.
