--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,282 @@
+package gateway_test
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"strings"
+
+	"orchiddrift/decide"
+	"orchiddrift/directory"
+	"orchiddrift/gateway"
+	"orchiddrift/ledger"
+	"orchiddrift/message"
+	"orchiddrift/push"
+)
+
+// bench plays a gateway's surroundings and prints what it asks for.
+type bench struct {
+	g     *gateway.Gateway
+	now   float64
+	calls map[string]*gateway.Call // by message
+	ln    net.Listener             // all endpoints are reached here
+	room  bool
+}
+
+func newBench(ends ...string) *bench {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	b := &bench{now: 1000, calls: map[string]*gateway.Call{}, room: true, ln: ln}
+	topics := []decide.Topic{
+		{Name: "reading", Repeat: decide.Repeatable, Group: "all", Objective: 2, TTL: 20, Benefit: 1},
+		{Name: "order", Repeat: decide.OnceOnly, Group: "all", Objective: 4, TTL: 20, Benefit: 3, Ordered: true}}
+	dir := directory.New()
+	for _, e := range ends {
+		dir.Change([]directory.Endpoint{b.line(e, directory.Ready)})
+	}
+	batch := map[string]int{"bulk": 2}
+	m := decide.New(1, dir, topics, decide.Slots{Calls: 6, Held: 9, Batch: batch}, decide.Routes{},
+		decide.Returns{ColdFrom: 0.2, ColdSpan: 10, Multiple: 2, FallAfter: 2, Dispatchers: 2},
+		decide.Pushes{Most: 8, Tick: 0.005, IdleClose: 10}, decide.Shares{}, false)
+	b.g = gateway.New(m, dir, func(int) bool { return b.room }, batch, 1.5)
+	return b
+}
+
+func (b *bench) line(id, stage string) directory.Endpoint {
+	return directory.Endpoint{ID: id, Kind: "bulk", Dest: id[:1], Stage: stage, Rate: 10,
+		Addr: b.ln.Addr().String()}
+}
+
+// take hands in messages named topic, destination and key: "order A1".
+func (b *bench) take(topic string, ids ...string) {
+	for _, id := range ids {
+		m := &message.Message{Until: b.now + 20}
+		m.ID, m.Topic, m.Dest = id, topic, id[:1]
+		if topic == "order" {
+			m.Key = id[1:2]
+		}
+		b.step(gateway.Arrived{Message: m, Reply: func(gateway.Reply) {}})
+	}
+}
+
+func (b *bench) step(e gateway.Event) { b.show(b.g.Step(b.now, e)) }
+
+// at moves the clock on and lets all go whose turn has come.
+func (b *bench) at(now float64) {
+	b.now = 1000 + now
+	effects, wait := b.g.Turns(b.now)
+	b.show(effects)
+	if math.IsInf(wait, 1) {
+		b.say("nothing to wait for")
+	}
+}
+
+// open lets a call's connection come up.
+func (b *bench) open(id string) {
+	conn, end := push.Dial(b.ln.Addr().String(), 1)
+	b.step(gateway.Connected{Call: b.calls[id], Conn: conn, End: end})
+}
+
+func (b *bench) end(id string, a push.Answer) {
+	b.step(gateway.Ended{Call: b.calls[id], Answer: a})
+}
+
+func (b *bench) say(format string, args ...any) {
+	fmt.Printf("%.2f  %s\n", b.now-1000, fmt.Sprintf(format, args...))
+}
+
+func (b *bench) show(effects []gateway.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case gateway.Accept:
+			b.say("accept %s", e.Message.ID)
+		case gateway.Answer:
+			b.say("answer %+v", e.Reply)
+		case gateway.Keep:
+			b.say("keep %s", records(e.Records))
+		case gateway.Dial:
+			b.note(e.Call)
+			b.say("dial %s for %s within %.2f", e.Call.Endpoint.ID, items(e.Call), e.Within)
+		case gateway.Begin:
+			b.note(e.Call)
+			b.say("begin %s to %s within %.2f, keep %s", items(e.Call), e.Call.Endpoint.ID, e.Within, records(e.Records))
+		case gateway.Notify:
+			b.say("notify %s %s %.2f", e.ID, e.Outcome, e.RetryIn)
+		case gateway.Shut:
+			b.say("shut")
+		default:
+			b.say("%T", e)
+		}
+	}
+}
+
+func (b *bench) note(c *gateway.Call) {
+	for _, m := range c.Items {
+		b.calls[m.ID] = c
+	}
+}
+
+func items(c *gateway.Call) string {
+	var ids []string
+	for _, m := range c.Items {
+		ids = append(ids, m.ID)
+	}
+	return strings.Join(ids, "+")
+}
+
+func records(list []ledger.Record) string {
+	names := []string{"", "taken", "began", "notrun", "mayrun", "noticed", "over"}
+	var texts []string
+	for _, r := range list {
+		texts = append(texts, names[r.Kind]+" "+r.ID)
+	}
+	return strings.Join(texts, ", ")
+}
+
+// The life of messages: taken on, pushed together where they may share a call, over with their delivery.
+func Example_life() {
+	b := newBench("A")
+	b.take("reading", "A1")
+	b.take("order", "A2")
+	b.at(0)
+	b.open("A2")
+	b.now += 0.1
+	b.end("A2", push.Answer{Ends: []push.End{push.Done, push.TurnedAway}, Reusable: true})
+	b.at(0.2)
+	b.at(1.5)
+	b.end("A2", push.Answer{Ends: []push.End{push.Done}, Reusable: true})
+	b.at(10)
+	// Output:
+	// 0.00  accept A1
+	// 0.00  accept A2
+	// 0.00  dial A for A1+A2 within 1.50
+	// 0.00  nothing to wait for
+	// 0.00  begin A1+A2 to A within 8.00, keep began A1, began A2
+	// 0.10  keep over A1, notrun A2
+	// 1.50  begin A2 to A within 8.00, keep began A2
+	// 1.50  nothing to wait for
+	// 1.50  keep over A2
+	// 10.00  shut
+	// 10.00  nothing to wait for
+}
+
+// An order that may have run is given up. The next of its key waits until the notice was answered.
+func Example_notice() {
+	b := newBench("A")
+	b.take("order", "A1", "A1'")
+	b.at(0)
+	b.open("A1")
+	b.end("A1", push.All(1, push.BrokeLate))
+	b.at(0.1)
+	b.step(gateway.Noticed{ID: "A1"})
+	b.at(2)
+	// Output:
+	// 0.00  accept A1
+	// 0.00  accept A1'
+	// 0.00  dial A for A1 within 1.50
+	// 0.00  begin A1 to A within 8.00, keep began A1
+	// 0.00  keep mayrun A1
+	// 0.00  keep noticed A1
+	// 0.00  notify A1 given_up 0.00
+	// 0.10  keep over A1
+	// 2.00  dial A for A1' within 1.50
+	// 2.00  nothing to wait for
+}
+
+// What was told while a connection came up holds: after a wait or a drain the call is not sent.
+func Example_toldMeanwhile() {
+	b := newBench("A", "B")
+	b.take("reading", "A1", "A2", "A3")
+	b.at(0)
+	b.open("A1")
+	b.now += 0.02
+	b.end("A1", push.Answer{Ends: []push.End{push.TurnedAway, push.TurnedAway}, Wait: 0.4})
+	b.open("A3")
+	b.take("reading", "B1")
+	b.at(0.1)
+	b.step(gateway.Listed{Endpoints: []directory.Endpoint{b.line("B", directory.Draining)}})
+	b.open("B1")
+	b.at(0.2)
+	b.at(2)
+	// Output:
+	// 0.00  accept A1
+	// 0.00  accept A2
+	// 0.00  accept A3
+	// 0.00  dial A for A1+A2 within 1.50
+	// 0.00  dial A for A3 within 1.50
+	// 0.00  nothing to wait for
+	// 0.00  begin A1+A2 to A within 2.50, keep began A1, began A2
+	// 0.02  keep notrun A1, notrun A2
+	// 0.02  keep notrun A3
+	// 0.02  accept B1
+	// 0.10  dial B for B1 within 1.50
+	// 0.10  keep notrun B1
+	// 2.00  begin A1+A2 to A within 2.50, keep began A1, began A2
+}
+
+// A message handed in twice, one that finds no room in the ledger, one that could not be written there.
+func Example_notTaken() {
+	b := newBench("A")
+	b.take("reading", "A1", "A1")
+	b.room = false
+	b.take("reading", "A2")
+	b.step(gateway.Unkept{ID: "A1"})
+	b.at(0)
+	// Output:
+	// 0.00  accept A1
+	// 0.00  answer {Taken:true RetryIn:0}
+	// 0.00  answer {Taken:false RetryIn:0}
+	// 0.00  nothing to wait for
+}
+
+// After a restart: an order that may have run is given up, a notice is sent again, the rest is pushed.
+func Example_restart() {
+	b := newBench("A", "B")
+	owed := func(id string, ranAt float64, notice *ledger.Record) ledger.Owed {
+		m := &message.Message{Until: b.now + 9}
+		m.ID, m.Topic, m.Dest, m.Key, m.RanAt, m.RanTo = id, "order", id[:1], id[1:2], ranAt, id[:1]
+		return ledger.Owed{Message: m, Notice: notice}
+	}
+	b.show(b.g.Restore(b.now, []ledger.Owed{owed("A1", 998, nil), owed("A2", 0, nil),
+		owed("B3", 0, &ledger.Record{ID: "B3", Outcome: gateway.HandedBack, RetryIn: 0.5}), owed("B3'", 0, nil)}))
+	b.at(0)
+	b.step(gateway.Noticed{ID: "B3"})
+	b.at(0.1)
+	// Output:
+	// 0.00  notify B3 handed_back 0.50
+	// 0.00  keep noticed A1
+	// 0.00  notify A1 given_up 0.00
+	// 0.00  dial A for A2 within 1.50
+	// 0.00  keep over B3
+	// 0.10  dial B for B3' within 1.50
+	// 0.10  nothing to wait for
+}
+
+// A planned stop: no push starts any more, what is out may end, and then the process may.
+func Example_stop() {
+	b := newBench("A", "B")
+	b.take("reading", "A1")
+	b.at(0)
+	b.open("A1")
+	b.step(gateway.Leaving{})
+	b.take("reading", "B1")
+	b.step(gateway.Stopping{})
+	b.at(0.1)
+	fmt.Println(b.g.Finished())
+	b.end("A1", push.All(1, push.Done))
+	fmt.Println(b.g.Finished(), b.g.Held())
+	b.take("reading", "B2")
+	// Output:
+	// 0.00  accept A1
+	// 0.00  dial A for A1 within 1.50
+	// 0.00  nothing to wait for
+	// 0.00  begin A1 to A within 2.50, keep began A1
+	// 0.00  accept B1
+	// 0.10  nothing to wait for
+	// false
+	// 0.10  keep over A1
+	// true 1
+	// 0.10  answer {Taken:false RetryIn:0}
+}
