--- /dev/null
+++ b/intake/intake_test.go
@@ -0,0 +1,91 @@
+package intake_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+
+	"orchiddrift/gateway"
+	"orchiddrift/intake"
+)
+
+const good = "POST /api HTTP/1.1\nHost: origin.svc\nX-Call-Id: a1\nX-Call-Class: order\nX-Caller: acme\n" +
+	"Cookie: about=7f3a\nX-Budget: 480m\nIdempotency-Key: 5c0f\nContent-Length: 5\nX-Addressing: dest=7\n\nhello"
+
+// start serves with a gateway that takes on or refuses, and gives its address.
+func start(reply gateway.Reply) (*intake.Server, string) {
+	knows := func(topic string) bool { return topic == "order" }
+	s := intake.NewServer(func() float64 { return 1000 }, knows, func(e gateway.Event) {
+		m := e.(gateway.Arrived).Message
+		fmt.Printf("%s %s %s %s %q until %g: %q %q\n", m.ID, m.Topic, m.Tenant, m.Dest, m.Key, m.Until, m.Mark, m.Body)
+		e.(gateway.Arrived).Reply(reply)
+	}, 10)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	go func() { _ = s.Serve(ln) }()
+	return s, ln.Addr().String()
+}
+
+// ask sends a request and prints the answer.
+func ask(addr, text string) {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer conn.Close()
+	fmt.Fprint(conn, strings.ReplaceAll(text, "\n", "\r\n"))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println(resp.StatusCode, resp.Header.Get("Retry-After"), resp.Close)
+}
+
+// Messages that are taken on and refused; one with neither key nor mark; a server about to leave.
+func Example_messages() {
+	_, addr := start(gateway.Reply{Taken: true})
+	ask(addr, good)
+	ask(addr, strings.NewReplacer("Cookie: about=7f3a\n", "", "Idempotency-Key: 5c0f\n", "", "480m", "250000u").Replace(good))
+	ask(addr, "GET /_health HTTP/1.1\nHost: a\n\n")
+	s, addr := start(gateway.Reply{RetryIn: 0.25})
+	s.Leave()
+	ask(addr, good)
+	// Output:
+	// a1 order acme 7 "7f3a" until 1000.48: "5c0f" "hello"
+	// 202  false
+	// a1 order acme 7 "" until 1000.25: "" "hello"
+	// 202  false
+	// 200  false
+	// a1 order acme 7 "7f3a" until 1000.48: "5c0f" "hello"
+	// 503 0.250 true
+}
+
+// Bad requests are answered with 400, and never reach the gateway.
+func Example_bad() {
+	_, addr := start(gateway.Reply{Taken: true})
+	for _, change := range [][2]string{{"X-Call-Id: a1\n", ""}, {"order", "letter"}, {"dest=7", "dest=x"},
+		{"dest=7", "to=7"}, {"480m", "480"}, {"480m", "-1m"}, {"480m", "NaNm"}, {"X-Budget: 480m\n", ""},
+		{"Length: 5", "Length: 65537"}, {"POST", "GET"}, {"/api", "/other"}, {"HTTP/1.1", "what"}} {
+		fmt.Printf("%q for %q: ", change[1], change[0])
+		ask(addr, strings.Replace(good, change[0], change[1], 1))
+	}
+	// Output:
+	// "" for "X-Call-Id: a1\n": 400  false
+	// "letter" for "order": 400  false
+	// "dest=x" for "dest=7": 400  false
+	// "to=7" for "dest=7": 400  false
+	// "480" for "480m": 400  false
+	// "-1m" for "480m": 400  false
+	// "NaNm" for "480m": 400  false
+	// "" for "X-Budget: 480m\n": 400  false
+	// "Length: 65537" for "Length: 5": 400  true
+	// "GET" for "POST": 405  false
+	// "/other" for "/api": 404  false
+	// "what" for "HTTP/1.1": 400  true
+}
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,125 @@
+package ledger_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"orchiddrift/ledger"
+	"orchiddrift/message"
+)
+
+func taken(id string, body int) ledger.Record {
+	m := &message.Message{Until: 1020, Mark: "mark", Body: []byte(strings.Repeat("x", body))}
+	m.ID, m.Topic, m.Tenant, m.Dest, m.Key = id, "order", "acme", "7", "account"
+	return ledger.Record{Kind: ledger.Taken, ID: id, Message: m}
+}
+
+func folder() string {
+	dir, err := os.MkdirTemp("", "ledger")
+	if err != nil {
+		panic(err)
+	}
+	return dir
+}
+
+func open(dir string, limit int) *ledger.Ledger {
+	l, owed, err := ledger.Open(dir, limit)
+	if err != nil {
+		panic(err)
+	}
+	for _, o := range owed {
+		m := o.Message
+		fmt.Printf("%s %s %s %s %s %s %g, %d bytes: %d pushes, ran at %g %q", m.ID, m.Topic, m.Tenant, m.Dest, m.Key,
+			m.Mark, m.Until, len(m.Body), m.Pushes, m.RanAt, m.RanTo)
+		if o.Notice != nil {
+			fmt.Printf(", notice %s %g", o.Notice.Outcome, o.Notice.RetryIn)
+		}
+		fmt.Println()
+	}
+	return l
+}
+
+func used(dir string) (sum int64) {
+	files, _ := filepath.Glob(filepath.Join(dir, "*"))
+	for _, f := range files {
+		if info, err := os.Stat(f); err == nil {
+			sum += info.Size()
+		}
+	}
+	return sum
+}
+
+// What is owed after a restart, in the order taken; a torn tail and a half-written new file do no harm.
+func Example_restart() {
+	dir := folder()
+	defer os.RemoveAll(dir)
+	l := open(dir, 1<<20)
+	_ = l.Write(taken("over", 5), taken("fresh", 5), taken("out", 5), taken("ran", 5), taken("notice", 0))
+	_ = l.Write(ledger.Record{Kind: ledger.Began, ID: "over", At: 1001, To: "e1"},
+		ledger.Record{Kind: ledger.Over, ID: "over"},
+		ledger.Record{Kind: ledger.Began, ID: "fresh", At: 1001, To: "e1"}, ledger.Record{Kind: ledger.NotRun, ID: "fresh"},
+		ledger.Record{Kind: ledger.Began, ID: "ran", At: 1002, To: "e1"}, ledger.Record{Kind: ledger.MayRun, ID: "ran"},
+		ledger.Record{Kind: ledger.Began, ID: "ran", At: 1003, To: "e2"}, ledger.Record{Kind: ledger.NotRun, ID: "ran"},
+		ledger.Record{Kind: ledger.Noticed, ID: "notice", Outcome: "handed_back", RetryIn: 0.5},
+		ledger.Record{Kind: ledger.Began, ID: "out", At: 1004, To: "e3"})
+	path := filepath.Join(dir, "ledger")
+	text, _ := os.ReadFile(path)
+	_ = os.WriteFile(path, append(text, 40, 0, 0, 0, 1, 2, 3, 4, 1, 2), 0o600)
+	_ = os.WriteFile(path+".new", []byte("half"), 0o600)
+	open(dir, 1<<20)
+	fmt.Println("and once more")
+	open(dir, 1<<20)
+	// Output:
+	// fresh order acme 7 account mark 1020, 5 bytes: 1 pushes, ran at 0 ""
+	// out order acme 7 account mark 1020, 5 bytes: 1 pushes, ran at 1004 "e3"
+	// ran order acme 7 account mark 1020, 5 bytes: 2 pushes, ran at 1002 "e1"
+	// notice order acme 7 account mark 1020, 0 bytes: 0 pushes, ran at 0 "", notice handed_back 0.5
+	// and once more
+	// fresh order acme 7 account mark 1020, 5 bytes: 1 pushes, ran at 0 ""
+	// out order acme 7 account mark 1020, 5 bytes: 1 pushes, ran at 1004 "e3"
+	// ran order acme 7 account mark 1020, 5 bytes: 2 pushes, ran at 1002 "e1"
+	// notice order acme 7 account mark 1020, 0 bytes: 0 pushes, ran at 0 "", notice handed_back 0.5
+}
+
+// However much goes through, the files stay under the limit; what does not fit is not taken on.
+func Example_limit() {
+	const limit = 300 << 10
+	dir := folder()
+	defer os.RemoveAll(dir)
+	l := open(dir, limit)
+	held, most := []string{}, int64(0)
+	for i := range 400 {
+		id := fmt.Sprint(i)
+		for !l.Room(20 << 10) {
+			_ = l.Write(ledger.Record{Kind: ledger.Over, ID: held[0]})
+			held = held[1:]
+		}
+		if err := l.Write(taken(id, 20<<10)); err != nil {
+			fmt.Println(err)
+		}
+		held = append(held, id)
+		for range 8 {
+			_ = l.Write(ledger.Record{Kind: ledger.Began, ID: id, At: 1001, To: "e1"}, ledger.Record{Kind: ledger.NotRun, ID: id})
+		}
+		most = max(most, used(dir))
+	}
+	fmt.Println(len(held), "held, files under the limit:", most < limit)
+	fmt.Println(errors.Is(l.Write(taken("large", limit)), ledger.ErrFull))
+	_, owed, _ := ledger.Open(dir, limit)
+	fmt.Println(len(owed), "owed, from", owed[0].Message.ID, "to", owed[len(owed)-1].Message.ID)
+	// Output:
+	// 6 held, files under the limit: true
+	// true
+	// 6 owed, from 394 to 399
+}
+
+// A folder that cannot be written gives one plain line.
+func Example_badFolder() {
+	_, _, err := ledger.Open("/nowhere/at/all", 1<<20)
+	fmt.Println(err)
+	// Output:
+	// ledger: open /nowhere/at/all/ledger.new: no such file or directory
+}
