--- a/cmd/orchiddrift/config.go
+++ b/cmd/orchiddrift/config.go
@@ -59,6 +59,9 @@
 	if l := c.Limits; l.Cores <= 0 || l.MemoryMB <= 0 || l.Sockets < 16 || l.DiskMB <= 0 {
 		return nil, fmt.Errorf("%s: limits cannot be %+v", path, l)
 	}
+	if len(c.Settings) == 0 {
+		return nil, fmt.Errorf("%s: settings are missing", path)
+	}
 	if c.values, err = settings.FromJSON(c.Settings); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
