Idle connections outlive the last call's deadline

At fault: push.Conn.Alive reads through the connection's deadline, which exchange left at the last call's; once it had passed every idle connection looked closed. Ruled out: the endpoints (one connection closed as idle by them) and the module's own closing (after 7.5 s). The deadline is taken off after each call; the test failed without that.

--- a/push/conn.go
+++ b/push/conn.go
@@ -88,6 +88,9 @@
 		return BrokeLate, false
 	}
 	err := resp.ReadBody(c.in, mostBody)
+	if err == nil {
+		err = c.net.SetDeadline(time.Time{}) // an idle connection has none: one that passed would look like its end
+	}
 	return answers(resp), err == nil && !resp.ConnectionClose()
 }
 
--- a/push/push_test.go
+++ b/push/push_test.go
@@ -131,11 +131,14 @@
 	// [broke late] 0 false 0 0 false
 }
 
-// A connection left idle is alive until the other side closes it. Closing it ourselves ends a call on it.
+// A connection left idle is alive until the other side closes it, also past the last call's time. Closing it ourselves ends a call on it.
 func Example_idle() {
-	conn, _ := push.Dial(endpoint(false, "HTTP/1.1 200 OK\nContent-Length: 0\n\n"), 1)
+	const done = "HTTP/1.1 200 OK\nContent-Length: 0\n\n"
+	conn, _ := push.Dial(endpoint(false, done, done), 1)
+	conn.Send([]*message.Message{msg("a")}, 0.05)
+	time.Sleep(60 * time.Millisecond)
 	fmt.Println(conn.Alive())
-	conn.Send([]*message.Message{msg("a")}, 1)
+	conn.Send([]*message.Message{msg("b")}, 1)
 	for conn.Alive() { // the endpoint closes it now
 		time.Sleep(time.Millisecond)
 	}
