What a call's 64 KiB have no room for is given back, and counts as no push

The protocol's bodies hold 64 KiB; twenty messages of a turn share a call, and with bodies of some kilobytes their list would have been answered 413 or worse. What does not fit goes with the next turn; the module does not count a push of which no byte was sent (Unsent). A push whose start the ledger did not take still counts, so that a full folder ends in a notice, not in a loop. The ledger no longer encodes a whole body for each record that follows it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -165,6 +165,8 @@
 		}
 		if o.Result != Moot {
 			m.learn(now, c, o)
+		} else if o.Unsent {
+			h.pushes--
 		}
 	}
 	switch o.Result {
@@ -550,11 +552,8 @@
 	if now >= h.until-m.pushes.Tick || h.pushes >= m.pushes.Most || h.shed {
 		return true
 	}
-	if h.mayRun == never {
-		return false
-	}
 	forgotten := now > h.mayRun+h.topic.Memory-m.pushes.Tick
-	return h.topic.Repeat == OnceOnly || h.topic.Repeat == Collapsible && forgotten
+	return h.mayRun != never && (h.topic.Repeat == OnceOnly || h.topic.Repeat == Collapsible && forgotten)
 }
 
 // giveUp ends one: throttled where it may safely come again, else expired. Its key waits until that is heard.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -602,3 +602,33 @@
 	// 0.10  wait 0.60
 	// 0.80  push A2 to A
 }
+
+// A push given back unsent is none of the eight that a notification has; one that was not sent for another reason is.
+func Example_unsent() {
+	d := newDesk(6, 40, "A")
+	d.take("reading", "A1")
+	for i, o := range []decide.Outcome{{Result: decide.Moot, Unsent: true}, {Result: decide.Moot}} {
+		for range 8 {
+			d.at(float64(i))
+			d.ended("A", o, "A1")
+		}
+	}
+	// Output:
+	// 0.00  push A1 to A
+	// 0.00  push A1 to A
+	// 0.00  push A1 to A
+	// 0.00  push A1 to A
+	// 0.00  push A1 to A
+	// 0.00  push A1 to A
+	// 0.00  push A1 to A
+	// 0.00  push A1 to A
+	// 1.00  push A1 to A
+	// 1.00  push A1 to A
+	// 1.00  push A1 to A
+	// 1.00  push A1 to A
+	// 1.00  push A1 to A
+	// 1.00  push A1 to A
+	// 1.00  push A1 to A
+	// 1.00  push A1 to A
+	// 1.00  throttle A1
+}
--- a/decide/types.go
+++ b/decide/types.go
@@ -67,6 +67,7 @@
 	Latency  float64
 	Wait     float64 // the wait told, 0 for none
 	NoSlot   bool    // Moot: every slot was taken
+	Unsent   bool    // Moot: it was handed back before a byte was sent, and counts as no push
 	Reported bool    // Share and Limit were told
 	Share    float64 // of the limit, left just now
 	Limit    float64 // calls a second
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,18 +30,19 @@
 
 // Gateway holds what is in hand.
 type Gateway struct {
-	module  *decide.Module
-	dir     *directory.Directory
-	room    func(body int) bool     // the ledger has room for a message
-	batch   map[string]int          // by kind: messages that may share a call
-	dial    float64                 // a connection is waited for so long at most
-	hand    map[string]*item        // by message
-	idle    map[string][]*push.Conn // by endpoint, the latest used last
-	waits   map[string]float64      // by destination: when it last told a wait
-	forming []*Call                 // the calls of this turn
-	leaving bool
-	stopped bool
-	effects []Effect
+	module   *decide.Module
+	dir      *directory.Directory
+	room     func(body int) bool     // the ledger has room for a message
+	batch    map[string]int          // by kind: messages that may share a call
+	dial     float64                 // a connection is waited for so long at most
+	hand     map[string]*item        // by message
+	idle     map[string][]*push.Conn // by endpoint, the latest used last
+	waits    map[string]float64      // by destination: when it last told a wait
+	forming  []*Call                 // the calls of this turn
+	overfull []*Call                 // and what they had no room for
+	leaving  bool
+	stopped  bool
+	effects  []Effect
 }
 
 // left is how long the call may still wait.
@@ -128,7 +129,9 @@
 	for {
 		wait, id := g.module.Wait(now)
 		if wait > 0 {
-			g.start(now)
+			if g.start(now) {
+				wait = 0
+			}
 			return g.done(), wait
 		}
 		ntf := decide.Notification{}
@@ -201,6 +204,11 @@
 	for i := len(g.forming) - 1; i >= 0; i-- {
 		c := g.forming[i]
 		if c.Endpoint.ID == a.Endpoint && len(c.Items) < g.batch[c.Endpoint.Kind] {
+			if !push.Fits(c.Items, it.message) {
+				it.call = &Call{Endpoint: c.Endpoint, Items: []*message.Message{it.message}, placed: now}
+				g.overfull = append(g.overfull, it.call)
+				return
+			}
 			c.Items = append(c.Items, it.message)
 			c.until, c.last = max(c.until, until), min(c.last, it.message.Until)
 			it.call = c
@@ -213,8 +221,9 @@
 	g.forming = append(g.forming, it.call)
 }
 
-// start gives each call of this turn an idle connection, or has one opened.
-func (g *Gateway) start(now float64) {
+// start gives each call of this turn an idle connection, or has one opened. What a call's body had no room for
+// is given back; it tells whether there was any, whose turn is then to be asked again.
+func (g *Gateway) start(now float64) bool {
 	for _, c := range g.forming {
 		if conn := g.reuse(c.Endpoint); conn != nil {
 			g.begin(now, c, conn)
@@ -222,7 +231,12 @@
 			g.do(Dial{c, min(g.dial, c.left(now))})
 		}
 	}
-	g.forming = nil
+	back := g.overfull
+	g.forming, g.overfull = nil, nil
+	for _, c := range back {
+		g.ended(now, c, push.All(1, push.GivenBack))
+	}
+	return len(back) > 0
 }
 
 // reuse takes the idle connection used last that still stands and leads to the endpoint's address.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -216,6 +216,25 @@
 	// 2.00  begin A1+A2 to A within 2.50, keep began A1, began A2
 }
 
+// Two large messages do not fit one call: the second goes with the next turn, and has used no push.
+func Example_largeBodies() {
+	b := newBench("A")
+	for _, id := range []string{"A1", "A2"} {
+		m := &message.Message{Until: b.now + 20, Body: make([]byte, 30<<10)}
+		m.ID, m.Topic, m.Dest = id, "reading", "A"
+		b.step(gateway.Arrived{Message: m, Reply: func(gateway.Reply) {}})
+	}
+	b.at(0)
+	b.at(0.01)
+	// Output:
+	// 0.00  accept A1
+	// 0.00  accept A2
+	// 0.00  dial A for A1 within 1.50
+	// 0.00  keep notrun A2
+	// 0.01  dial A for A2 within 1.50
+	// 0.01  nothing to wait for
+}
+
 // A message handed in twice, one that finds no room in the ledger, one that could not be written there.
 func Example_notTaken() {
 	b := newBench("A")
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -83,7 +83,7 @@
 		case Begin:
 			if !r.write(e.Records...) {
 				e.Call.Conn.Close()
-				r.step(Ended{e.Call, push.All(len(e.Call.Items), push.GivenBack)})
+				r.step(Ended{e.Call, push.All(len(e.Call.Items), push.Unkept)})
 				continue
 			}
 			go func() { r.Tell(Ended{e.Call, e.Call.Conn.Send(e.Call.Items, e.Within)}) }()
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -29,6 +29,7 @@
 	Notice  *Record          // its notice, if that is all it still needs
 	out     *Record          // the push that was out
 	seq     int
+	size    int // of the record that tells of its taking
 }
 
 // Ledger is the open folder.
@@ -115,7 +116,7 @@
 		l.taken++
 		m := *r.Message
 		m.Pushes = r.Pushes
-		o = &Owed{Message: &m, seq: l.taken}
+		o = &Owed{Message: &m, seq: l.taken, size: len(encode(nil, r))}
 		l.owed[r.ID] = o
 	case o == nil: // already over
 		return
@@ -151,12 +152,13 @@
 	return list
 }
 
+// bytes is what those records take, but for the few that the first grows by.
 func (o *Owed) bytes() int {
 	var b []byte
-	for _, r := range o.records() {
+	for _, r := range o.records()[1:] {
 		b = encode(b, r)
 	}
-	return len(b)
+	return o.size + len(b)
 }
 
 // inOrder lists what is owed as it was taken.
--- a/push/call.go
+++ b/push/call.go
@@ -1,6 +1,7 @@
 package push
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"math"
 	"strconv"
@@ -12,7 +13,20 @@
 	"orchiddrift/message"
 )
 
-const mostBody = 1 << 20
+const (
+	mostBody = 1 << 20  // of an answer
+	mostCall = 64 << 10 // of a call with several messages
+	wrapping = 256      // what stands round a message there
+)
+
+// Fits tells whether one more message fits the body of a call.
+func Fits(list []*message.Message, m *message.Message) bool {
+	size := 0
+	for _, x := range append(list[:len(list):len(list)], m) {
+		size += wrapping + len(x.ID) + len(x.Mark) + base64.StdEncoding.EncodedLen(len(x.Body))
+	}
+	return size <= mostCall
+}
 
 // Answer tells how a call ended: one end for each message, in their order, and what the endpoint told.
 type Answer struct {
--- a/push/end.go
+++ b/push/end.go
@@ -20,7 +20,8 @@
 	BrokeLate             // it broke, or ended, after that
 	Silent                // no answer in the time there was
 	CutOff                // we gave the call up
-	GivenBack             // never sent: what was told meanwhile forbids it
+	GivenBack             // never sent: what was told meanwhile forbids it, or the call is full
+	Unkept                // never sent: the ledger did not take its start
 )
 
 // ends says of each end its name in the log, the module's result, and whether nothing more is owed.
@@ -43,6 +44,7 @@
 	Silent:     {"silent", decide.TimedOut, false},
 	CutOff:     {"cut off", decide.Cancelled, false},
 	GivenBack:  {"given back", decide.Moot, false},
+	Unkept:     {"unkept", decide.Moot, false},
 }
 
 // String is the end's name in the log.
@@ -50,7 +52,8 @@
 
 // Outcome gives the module's outcome of a push that ended so.
 func (e End) Outcome() decide.Outcome {
-	return decide.Outcome{Result: ends[e].result, Over: ends[e].over, NoSlot: e == OverSlots}
+	return decide.Outcome{Result: ends[e].result, Over: ends[e].over, NoSlot: e == OverSlots,
+		Unsent: e == GivenBack}
 }
 
 // MayHaveRun tells that the push may have taken effect.
