--- a/push/conn.go
+++ b/push/conn.go
@@ -72,7 +72,11 @@
 	if err := c.out.Flush(); err != nil {
 		return BrokeEarly, false
 	}
-	if err := resp.Header.Read(c.in); err != nil {
+	err := resp.Header.Read(c.in)
+	for err == nil && resp.StatusCode() < fasthttp.StatusOK { // on its way
+		err = resp.Header.Read(c.in)
+	}
+	if err != nil {
 		begun, _ := c.in.Peek(c.in.Buffered())
 		switch {
 		case doneLine.Match(begun): // delivered, whatever became of the rest
@@ -87,7 +91,9 @@
 		}
 		return BrokeLate, false
 	}
-	err := resp.ReadBody(c.in, mostBody)
+	if code := resp.StatusCode(); code != fasthttp.StatusNoContent && code != fasthttp.StatusNotModified {
+		err = resp.ReadBody(c.in, mostBody)
+	}
 	if err == nil {
 		err = c.net.SetDeadline(time.Time{}) // an idle connection has none: one that passed would look like its end
 	}
--- a/push/push_test.go
+++ b/push/push_test.go
@@ -75,6 +75,8 @@
 		"HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
 		"HTTP/1.1 200 OK\nX-Load-Report: TEXT x0=0.4, x1=25\nContent-Length: 0\n\n",
 		"HTTP/1.1 200 OK\nX-Load-Report: TEXT x0=NaN, x1=25\nConnection: close\nContent-Length: 0\n\n",
+		"HTTP/1.1 102 Processing\n\nHTTP/1.1 200 OK\nContent-Length: 0\n\n",
+		"HTTP/1.1 204 No Content\n\n",
 		"HTTP/1.1 200 OK\nContent-Le", // delivered once the first line has come
 		"HTTP/1.1 500 Internal Server Error\nContent-Length: 0\n\n",
 		"HTTP/1.1 429 Too Many Requests\nRetry-After: 0.75\nContent-Length: 0\n\n",
@@ -95,6 +97,8 @@
 	// [done] 0 false 0 0 true
 	// [done] 0 true 0.4 25 true
 	// [done] 0 false 0 0 false
+	// [done] 0 false 0 0 true
+	// [unreadable] 0 false 0 0 true
 	// [done] 0 false 0 0 false
 	// [erred] 0 false 0 0 true
 	// [turned away] 0.75 false 0 0 true
