--- a/cmd/orchiddrift/main.go
+++ b/cmd/orchiddrift/main.go
@@ -62,7 +62,7 @@
 	}
 
 	clock := sinceStart()
-	agent := platform.NewAgent(c.Discovery, c.Known.Version)
+	agent := platform.NewAgent(c.Discovery, c.Known.Version, log)
 	r := &gateway.Runner{Gateway: gateway.New(module, dir, book.Room, batch, dial), Ledger: book, Platform: agent,
 		Clock: clock, Tick: tick, Log: log, Events: make(chan gateway.Event, 1024)}
 	log.Info().Int("owed", len(owed)).Int("listed", len(c.Known.Servers)).Msg("start")
@@ -78,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	server := intake.NewServer(clock, module.Knows, r.Tell, c.Limits.Sockets/2)
+	server := intake.NewServer(clock, module.Knows, r.Tell, c.Limits.Sockets/2, log)
 	stop, failed := make(chan struct{}), make(chan error, 1)
 	go func() {
 		if err := server.Serve(ln); err != nil {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -26,6 +26,7 @@
 	Tick     float64 // the least seconds between two rounds of turns
 	Log      zerolog.Logger
 	Events   chan Event
+	listLost bool // the log has said so
 }
 
 // Run takes in events and lets notifications go as their turns come, until the gateway has finished or stop
@@ -126,9 +127,15 @@
 				Stringer("end", e.End).Msg("no connection")
 		}
 	case Listed:
-		r.Log.Info().Bool("full", e.Full).Int("entries", len(e.Endpoints)).Msg("list")
+		if e.Full || len(e.Endpoints) > 0 || r.listLost {
+			r.Log.Info().Bool("full", e.Full).Int("entries", len(e.Endpoints)).Msg("list")
+		}
+		r.listLost = false
 	case ListLost:
-		r.Log.Warn().Msg("list not told")
+		if !r.listLost {
+			r.Log.Warn().Msg("list not told")
+		}
+		r.listLost = true
 	case Leaving:
 		r.Log.Info().Int("held", r.Gateway.Held()).Msg("no client comes any more")
 	case Stopping:
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"orchiddrift/gateway"
@@ -28,17 +29,19 @@
 	clock func() float64
 	knows func(topic string) bool
 	tell  func(gateway.Event)
+	log   zerolog.Logger
 	http  *fasthttp.Server
 	leave atomic.Bool
 }
 
 // NewServer returns a server that hands each message to tell, and holds so many connections at most.
-func NewServer(clock func() float64, knows func(string) bool, tell func(gateway.Event), conns int) *Server {
-	s := &Server{clock: clock, knows: knows, tell: tell}
+func NewServer(clock func() float64, knows func(string) bool, tell func(gateway.Event), conns int,
+	log zerolog.Logger) *Server {
+	s := &Server{clock: clock, knows: knows, tell: tell, log: log}
 	s.http = &fasthttp.Server{Handler: s.handle, Concurrency: conns, MaxRequestBodySize: mostBody,
-		ReadBufferSize: mostHead,
-		IdleTimeout:    idleFor, ReadTimeout: slowRead, WriteTimeout: slowRead, NoDefaultServerHeader: true,
-		NoDefaultContentType: true, CloseOnShutdown: true, Logger: quiet{}, ErrorHandler: unreadable}
+		ReadBufferSize: mostHead, ErrorHandler: s.unreadable,
+		IdleTimeout: idleFor, ReadTimeout: slowRead, WriteTimeout: slowRead, NoDefaultServerHeader: true,
+		NoDefaultContentType: true, CloseOnShutdown: true, Logger: quiet{}}
 	return s
 }
 
@@ -52,7 +55,8 @@
 func (s *Server) Close() error { return s.http.Shutdown() }
 
 // unreadable answers what is no request, or one that is too large.
-func unreadable(ctx *fasthttp.RequestCtx, err error) {
+func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
+	s.log.Info().Stringer("client", ctx.RemoteAddr()).Err(err).Msg("bad request")
 	ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 }
 
@@ -76,7 +80,7 @@
 func (s *Server) take(ctx *fasthttp.RequestCtx) {
 	m, err := s.decode(ctx)
 	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		s.unreadable(ctx, err)
 		return
 	}
 	reply := make(chan gateway.Reply, 1)
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 
+	"github.com/rs/zerolog"
+
 	"orchiddrift/gateway"
 	"orchiddrift/intake"
 )
@@ -21,7 +23,7 @@
 		m := e.(gateway.Arrived).Message
 		fmt.Printf("%s %s %s %s %q until %g: %q %q\n", m.ID, m.Topic, m.Tenant, m.Dest, m.Key, m.Until, m.Mark, m.Body)
 		e.(gateway.Arrived).Reply(reply)
-	}, 10)
+	}, 10, zerolog.Nop())
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
