--- a/cmd/orchiddrift/main_test.go
+++ b/cmd/orchiddrift/main_test.go
@@ -166,8 +166,8 @@
 	fmt.Println(w.process.Wait())
 	w.hand("a3", "reading", "")
 	w.start()
-	fmt.Println(strings.Count(w.log.String(), `"owed":0`), "starts with nothing owed")
 	w.end(syscall.SIGTERM)
+	fmt.Println(strings.Count(w.log.String(), `"owed":0`), "starts with nothing owed")
 	// Output:
 	// ready
 	// a1 202 false
@@ -177,8 +177,8 @@
 	// <nil>
 	// a3 found nobody
 	// ready
-	// 2 starts with nothing owed
 	// <nil>
+	// 2 starts with nothing owed
 }
 
 // A bad configuration ends the program with one plain line.
