A dispatcher that stood still takes the answers that came meanwhile

Go's reads fail once their deadline has passed even if the answer lies there, so after a stall longer than a push's patience each answer that had come was told as silence: repeatable notifications went again, once-only ones were given up. Now a push whose time is over looks once more, for a millisecond. It could harm only in holding a slot a millisecond longer.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,7 +51,6 @@
 // item is a message in hand.
 type item struct {
 	message *message.Message
-	reply   func(Reply) // of a client that has no answer yet
 	call    *Call
 	ending  bool // its notice is out
 }
--- a/push/conn.go
+++ b/push/conn.go
@@ -15,6 +15,8 @@
 
 var doneLine = regexp.MustCompile(`^HTTP/1\.[01] 200\b[^\n]*\n`)
 
+const glance = time.Millisecond
+
 // Conn is a connection to an endpoint.
 type Conn struct {
 	addr string
@@ -73,6 +75,10 @@
 		return BrokeEarly, false
 	}
 	err := resp.Header.Read(c.in)
+	if err != nil && timedOut(err) && c.net.SetDeadline(time.Now().Add(glance)) == nil {
+		// A process that stood still finds its deadline passed and the answer there: look once more.
+		err = resp.Header.Read(c.in)
+	}
 	for err == nil && resp.StatusCode() < fasthttp.StatusOK { // on its way
 		err = resp.Header.Read(c.in)
 	}
