SIGHUP reads the configuration again; list and notices move to the new discovery

Changed: the file is read and checked again, a bad one is logged and changes nothing; the agent keeps its address as a link that another can take the place of, and what waits at the old one is asked at once at the new, the list as a whole.

--- a/cmd/orchiddrift/config.go
+++ b/cmd/orchiddrift/config.go
@@ -8,6 +8,8 @@
 	"os"
 	"strconv"
 
+	"orchiddrift/decide"
+	"orchiddrift/directory"
 	"orchiddrift/platform"
 	"orchiddrift/settings"
 )
@@ -33,7 +35,8 @@
 	DiskMB   float64 `json:"disk_mb"`
 }
 
-// load reads the file that ROUTER_CONFIG names; what stands in the other variables goes before it.
+// load reads the file that ROUTER_CONFIG names; what stands in the other variables goes before it. Discovery alone
+// is the file's where it names one: the file may be replaced while the program runs, and its variables stay.
 func load(getenv func(string) string) (*config, error) {
 	path := getenv("ROUTER_CONFIG")
 	if path == "" {
@@ -49,7 +52,7 @@
 	}
 	for name, field := range map[string]*string{"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen,
 		"ROUTER_DISCOVERY": &c.Discovery, "ROUTER_STATE": &c.state} {
-		if v := getenv(name); v != "" {
+		if v := getenv(name); v != "" && (*field == "" || field != &c.Discovery) {
 			*field = v
 		}
 		if *field == "" {
@@ -77,3 +80,21 @@
 	h.Write([]byte(c.Seed))
 	return h.Sum64()
 }
+
+// parts are what the settings give.
+type parts struct {
+	module     *decide.Module
+	batch      map[string]int
+	dial, tick float64
+}
+
+func (c *config) parts(dir *directory.Directory) (p parts, err error) {
+	if p.module, err = c.values.Module(c.seed(), dir); err == nil {
+		p.batch, p.dial, p.tick = c.values.Batch(), c.values.Seconds("policy-limits.dial-timeout-ms"), c.values.Seconds("tick-ms")
+		err = c.values.Err()
+	}
+	if err != nil {
+		err = fmt.Errorf("settings: %w", err)
+	}
+	return p, err
+}
--- a/cmd/orchiddrift/main.go
+++ b/cmd/orchiddrift/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"net"
@@ -47,13 +48,9 @@
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("dispatcher", c.Name).Logger()
 
 	dir := directory.New()
-	module, err := c.values.Module(c.seed(), dir)
+	p, err := c.parts(dir)
 	if err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
-	batch, dial, tick := c.values.Batch(), c.values.Seconds("policy-limits.dial-timeout-ms"), c.values.Seconds("tick-ms")
-	if err := c.values.Err(); err != nil {
-		return fmt.Errorf("settings: %w", err)
+		return err
 	}
 	dir.Replace(c.Known.Endpoints())
 	book, owed, err := ledger.Open(c.state, int(c.Limits.DiskMB*1e6))
@@ -63,8 +60,8 @@
 
 	clock := sinceStart()
 	agent := platform.NewAgent(c.Discovery, c.Known.Version, log)
-	r := &gateway.Runner{Gateway: gateway.New(module, dir, book.Room, batch, dial), Ledger: book, Platform: agent,
-		Clock: clock, Tick: tick, Log: log, Events: make(chan gateway.Event, 1024)}
+	r := &gateway.Runner{Gateway: gateway.New(p.module, dir, book.Room, p.batch, p.dial), Ledger: book,
+		Platform: agent, Clock: clock, Tick: p.tick, Log: log, Events: make(chan gateway.Event, 1024)}
 	log.Info().Int("owed", len(owed)).Int("listed", len(c.Known.Servers)).Msg("start")
 	r.Restore(owed)
 	go agent.SendNotices()
@@ -74,11 +71,18 @@
 
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go func() {
+		for range reloads {
+			reload(c, agent, log)
+		}
+	}()
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
-	server := intake.NewServer(clock, module.Knows, r.Tell, c.Limits.Sockets/2, log)
+	server := intake.NewServer(clock, p.module.Knows, r.Tell, c.Limits.Sockets/2, log)
 	stop, failed := make(chan struct{}), make(chan error, 1)
 	go func() {
 		if err := server.Serve(ln); err != nil {
@@ -111,6 +115,25 @@
 	}
 }
 
+// reload takes in the configuration again. Discovery may have moved; for anything else the program has to be
+// started anew. A bad configuration changes nothing.
+func reload(old *config, agent *platform.Agent, log zerolog.Logger) {
+	c, err := load(os.Getenv)
+	if err == nil {
+		_, err = c.parts(directory.New())
+	}
+	if err != nil {
+		log.Error().Err(err).Msg("configuration not taken: the old one stays")
+		return
+	}
+	moved := agent.Move(c.Discovery)
+	log.Info().Str("discovery", c.Discovery).Bool("moved", moved).Msg("configuration taken")
+	if c.Name != old.Name || c.Listen != old.Listen || c.state != old.state || c.Limits != old.Limits ||
+		!bytes.Equal(c.Settings, old.Settings) {
+		log.Warn().Msg("configuration changed beyond discovery: that needs a restart")
+	}
+}
+
 // sinceStart is a clock in Unix seconds that only moves forward.
 func sinceStart() func() float64 {
 	start := time.Now()
--- a/cmd/orchiddrift/main_test.go
+++ b/cmd/orchiddrift/main_test.go
@@ -51,6 +51,9 @@
 	endpoint := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		w.events <- fmt.Sprint("pushed ", r.Header.Get("X-Call-Id"))
+		if string(body) == "hang up" {
+			panic(http.ErrAbortHandler)
+		}
 		if wait, err := time.ParseDuration(string(body)); err == nil {
 			time.Sleep(wait)
 		}
@@ -209,3 +212,34 @@
 	// orchiddrift: DIR/config.json: json: cannot unmarshal number into Go struct field config.limits of type main.limits
 	// exit status 1
 }
+
+// On SIGHUP discovery moves, whatever the variables say; a bad configuration changes nothing.
+func Example_reload() {
+	w, other := newWorld(), newWorld()
+	defer os.RemoveAll(w.dir)
+	defer os.RemoveAll(other.dir)
+	w.start()
+	path := filepath.Join(w.dir, "config.json")
+	good, _ := os.ReadFile(path)
+	for _, text := range []string{`{"discovery":`, strings.Replace(string(good), "{", fmt.Sprintf(`{"discovery":%q,`,
+		strings.TrimPrefix(other.agent.URL, "http://")), 1)} {
+		_ = os.WriteFile(path, []byte(text), 0o600)
+		_ = w.process.Process.Signal(syscall.SIGHUP)
+		time.Sleep(200 * time.Millisecond)
+	}
+	w.hand("a1", "reading", "")
+	w.next()
+	w.agent.CloseClientConnections()
+	w.hand("a2", "order", "hang up")
+	other.next()
+	w.end(syscall.SIGTERM)
+	fmt.Println(strings.Count(w.log.String(), "configuration not taken"), strings.Count(w.log.String(), "configuration taken"))
+	// Output:
+	// ready
+	// a1 202 false
+	// pushed a1
+	// a2 202 false
+	// {"message":"a2","outcome":"given_up"}
+	// <nil>
+	// 1 1
+}
