Bad clients and spoilt answers end soon; state goes once the list names it no more

Half-sent requests lasted 10 s (slowRead), silent ones as long, against 3 s owed. push.exchange waited a call's whole time for the rest of an answer that never ends, and kept 'never ran' from a head whose body is spoilt. Changed: two lengths are 400 and a close; requests and silence end in 2 s, idle clients in 3 s, and where connections run out those that never asked make room; an answer's rest has 250 ms; a spoilt one may have run, or is true alone with 200; 400 and 413 are 'unusable', never ran; a destination no list names is refused; endpoints, throttles, destinations, keys and tenants go at the next news of the list.

--- a/cmd/simhost/host_test.go
+++ b/cmd/simhost/host_test.go
@@ -30,7 +30,7 @@
 }
 
 // A start, a list whose number is used again, a push and its outcome; what is over already is ignored, and the
-// connection left idle is closed.
+// connection left idle is closed. A destination that no list names is refused.
 func Example_day() {
 	play("ROUND 100.0 1", "EOB",
 		"ROUND 105.0 2", "TO 3", boot, "DEFINE_LIST 0 1", "M e1 dc plain 9 ready 10.0 -", "UPDATE stale_copy 0 1",
@@ -51,6 +51,8 @@
 	// BY 3
 	// CLOSE e2
 	// END 4
+	// BY 3
+	// NOT_NOW n2 1000.000
 	// END 5
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -84,7 +84,7 @@
 	if !known {
 		h = &held{Notification: ntf, topic: m.topics[ntf.Topic], until: now + ntf.Left, mayRun: never}
 		h.pushes, h.beyond = ntf.Pushes, ntf.Left > h.topic.TTL-m.pushes.Tick && m.beyond(now, ntf.Tenant)
-		if !ntf.Owed && len(d.queue) >= m.bound() && !m.displace(now, d, h) {
+		if !ntf.Owed && (!m.dir.Known(d.id) || len(d.queue) >= m.bound() && !m.displace(now, d, h)) {
 			return Answer{Do: Throttle, Ntf: h.ID, RetryIn: m.retryIn(now, d)}
 		}
 		if ntf.RanAt > 0 { // before a restart: it may still run
@@ -167,6 +167,8 @@
 			m.learn(now, c, o)
 		} else if o.Unsent {
 			h.pushes--
+		} else if o.Spent {
+			h.pushes = m.pushes.Most
 		}
 	}
 	switch o.Result {
@@ -191,6 +193,7 @@
 
 // Wait gives the seconds until Place is to be asked, and for whom; 0 asks for it now.
 func (m *Module) Wait(now float64) (float64, string) {
+	m.sweep(now)
 	next := m.errandAt(now)
 	if next <= now {
 		return 0, ""
@@ -639,13 +642,8 @@
 	if !h.ordered() {
 		return
 	}
-	rested := func(x *held) bool { return x.done() && x.rest <= now }
-	left := slices.DeleteFunc(m.keys[h.Key], rested)
-	if len(left) == 0 {
-		delete(m.keys, h.Key)
-	} else {
-		m.keys[h.Key] = left
-	}
+	rested := func(x *held) bool { return x.rested(now) }
+	m.keys[h.Key] = slices.DeleteFunc(m.keys[h.Key], rested)
 }
 
 // joinable is the call of this turn to an endpoint that has room for another notification.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -632,3 +632,18 @@
 	// 1.00  push A1 to A
 	// 1.00  throttle A1
 }
+
+// A destination that no list names is refused; one whose endpoints are gone for now is held. A message that no
+// endpoint takes is given up with the first push.
+func Example_unusable() {
+	d := newDesk(8, 40, "A", "D")
+	d.take("reading", "X1")
+	d.list("D", "plain", directory.Gone)
+	d.take("reading", "D1", "A1")
+	d.at(0)
+	d.ended("A", decide.Outcome{Result: decide.Moot, Spent: true}, "A1")
+	// Output:
+	// 0.00  throttle X1
+	// 0.00  push A1 to A
+	// 0.00  throttle A1
+}
--- a/decide/helpers_test.go
+++ b/decide/helpers_test.go
@@ -33,6 +33,9 @@
 		decide.Returns{ColdFrom: 0.2, ColdSpan: 10, Multiple: 2, FallAfter: 2, Dispatchers: 2},
 		decide.Pushes{Most: 8, Settle: 1, Tick: 0.005, IdleClose: 1},
 		decide.Shares{Rate: map[string]float64{"big": 2}, Beyond: 0.05}, false)
+	for _, dest := range "ABC" { // known, if with nothing ready
+		d.list(string(dest)+" drains", "plain", directory.Draining)
+	}
 	for _, e := range ends {
 		d.list(e, "plain", directory.Ready)
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"slices"
+	"strings"
 
 	"orchiddrift/directory"
 )
@@ -22,6 +24,7 @@
 	asked   map[string][]float64 // when each tenant's last notifications came
 	ask     bool                 // the list answers only when asked
 	heard   int                  // updates heard when it was last asked
+	swept   int                  // and when state was last swept
 	nextAsk float64              // when it is to be asked; never for not
 	held    map[string]*held
 	keys    map[string][]*held
@@ -63,6 +66,9 @@
 // done tells that nothing more can come of it.
 func (h *held) done() bool { return h.over && !h.ending && h.call == nil }
 
+// rested tells that its key is free of it.
+func (h *held) rested(now float64) bool { return h.done() && h.rest <= now }
+
 func (h *held) ordered() bool { return h.topic.Ordered && h.Key != "" }
 
 // call is a call out, shared by the notifications of one turn.
@@ -127,6 +133,50 @@
 	lasted []float64
 }
 
+// sweep lets go, after each news of the list, of what no decision can need any more: endpoints and destinations no
+// longer listed, with nothing out or held; their throttles, once no wait runs and no return may still be budgeted;
+// keys at rest; tenants that asked nothing for the span in which their share is read.
+func (m *Module) sweep(now float64) {
+	if m.swept == m.dir.Heard {
+		return
+	}
+	m.swept = m.dir.Heard
+	named := map[string]bool{}
+	for id, d := range m.dests {
+		if !m.dir.Known(id) && len(d.queue) == 0 {
+			delete(m.dests, id)
+		}
+	}
+	for _, i := range m.idle {
+		named[i.end.id] = true
+	}
+	for id, e := range m.ends {
+		if !m.dir.Lists(id) && !named[id] && len(e.calls) == 0 {
+			delete(m.ends, id)
+		}
+	}
+	for id, g := range m.gates {
+		dest, shared := strings.CutPrefix(id, sharedGate)
+		listed := shared && m.dir.Known(dest) || !shared && m.dir.Lists(id)
+		if !listed && g.out == 0 && g.stop <= now && !(g.struck && g.back+m.returns.ColdSpan >= now) {
+			delete(m.gates, id)
+		}
+	}
+	for key, list := range m.keys {
+		if !slices.ContainsFunc(list, func(h *held) bool { return !h.rested(now) }) {
+			delete(m.keys, key)
+		}
+	}
+	for tenant, asked := range m.asked {
+		if asked[len(asked)-1] <= now-shareSpan {
+			delete(m.asked, tenant)
+		}
+	}
+}
+
+// sharedGate stands before a destination in the id of the throttle that its endpoints share.
+const sharedGate = "to "
+
 func (m *Module) dest(id string) *dest {
 	if m.dests[id] == nil {
 		m.dests[id] = &dest{id: id}
@@ -135,7 +185,7 @@
 }
 
 func (m *Module) gate(e directory.Endpoint) *gate {
-	id := "to " + e.Dest
+	id := sharedGate + e.Dest
 	if m.routes.Apart[e.Kind] {
 		id = e.ID
 	}
--- /dev/null
+++ b/decide/state_test.go
@@ -0,0 +1,54 @@
+package decide
+
+import (
+	"fmt"
+
+	"orchiddrift/directory"
+)
+
+// What is kept of endpoints, destinations, throttles, keys and tenants goes once the list, a told wait, an outage
+// seen and a resting key need it no more.
+func Example_forgets() {
+	dir := directory.New()
+	m := New(7, dir, []Topic{{Name: "order", Repeat: OnceOnly, TTL: 20, Objective: 2, Benefit: 1, Ordered: true}},
+		Slots{Calls: 40, Held: 40}, Routes{}, Returns{ColdSpan: 10, Dispatchers: 1},
+		Pushes{Most: 8, Settle: 1.5, Tick: 0.005, IdleClose: 2}, Shares{}, false)
+	ends := map[string]Outcome{"A": {Result: Delivered}, "B": {Result: Throttled, Wait: 9},
+		"C": {Result: TimedOut}, "D": {Result: Delivered}}
+	list := func(now float64, stage string) {
+		for _, id := range []string{"A", "B", "C"} {
+			dir.Change([]directory.Endpoint{{ID: id, Dest: id, Stage: stage, Rate: 10}})
+		}
+		dir.Change([]directory.Endpoint{{ID: "D", Dest: "D", Stage: directory.Ready, Rate: 10}})
+		for wait, id := m.Wait(now); wait == 0 && id == ""; wait, id = m.Wait(now) {
+			m.Place(now, Notification{})
+		}
+		fmt.Println(now, len(m.ends), len(m.dests), len(m.gates), len(m.keys), len(m.asked))
+	}
+	list(0, directory.Ready)
+	for _, id := range []string{"A", "B", "C", "D"} {
+		for n := range 2 {
+			ntf := Notification{ID: fmt.Sprint(id, n), Topic: "order", Tenant: id, Dest: id, Key: fmt.Sprint(id, n), Left: 20}
+			m.Place(1, ntf)
+			m.Place(1, ntf)
+			o := ends[id]
+			o.Ntf, o.Endpoint, o.Over = ntf.ID, id, o.Result == Delivered
+			m.After(1, o)
+			m.After(1, Outcome{Ntf: ntf.ID, Result: Withdrawn})
+		}
+	}
+	list(2, directory.Ready)
+	list(3, directory.Ready)
+	list(6, directory.Gone)
+	dir.Replace(nil)
+	list(8, directory.Gone)
+	dir.Replace(nil)
+	list(20, directory.Gone)
+	// Output:
+	// 0 0 0 0 0 0
+	// 2 4 4 4 2 4
+	// 3 4 4 4 0 4
+	// 6 1 4 4 0 0
+	// 8 1 1 2 0 0
+	// 20 1 1 2 0 0
+}
--- a/decide/types.go
+++ b/decide/types.go
@@ -68,6 +68,7 @@
 	Wait     float64 // the wait told, 0 for none
 	NoSlot   bool    // Moot: every slot was taken
 	Unsent   bool    // Moot: it was handed back before a byte was sent, and counts as no push
+	Spent    bool    // Moot: no further push of it will be taken
 	Reported bool    // Share and Limit were told
 	Share    float64 // of the limit, left just now
 	Limit    float64 // calls a second
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -1,6 +1,8 @@
 // Package directory keeps the endpoints as they were last listed. It holds state and decides nothing.
 package directory
 
+import "slices"
+
 // Stages of a listed endpoint.
 const (
 	Ready    = "ready"
@@ -22,16 +24,24 @@
 // Directory is the list as one dispatcher knows it.
 type Directory struct {
 	byDest   map[string][]Endpoint // in the order in which the list named them
+	dest     map[string]string     // of each endpoint
 	Heard    int                   // updates taken in, failures too
 	Failures int                   // notices that a watch or a fetch failed, since the last good update
 }
 
 // New returns an empty directory.
-func New() *Directory { return &Directory{byDest: map[string][]Endpoint{}} }
+func New() *Directory { return &Directory{byDest: map[string][]Endpoint{}, dest: map[string]string{}} }
 
-// Replace takes a whole list: an endpoint that it lacks is gone.
+// Replace takes a whole list: an endpoint that it lacks is gone. A destination left without any stays known until
+// the next whole list: its endpoints may be about to be replaced.
 func (d *Directory) Replace(list []Endpoint) {
-	d.byDest = map[string][]Endpoint{}
+	was := d.byDest
+	d.byDest, d.dest = map[string][]Endpoint{}, map[string]string{}
+	for dest, known := range was {
+		if len(known) > 0 {
+			d.byDest[dest] = nil
+		}
+	}
 	d.Change(list)
 }
 
@@ -44,6 +54,12 @@
 	}
 }
 
+// Known tells whether the list names a destination, or lately did; before there is a list any may be.
+func (d *Directory) Known(dest string) bool { _, ok := d.byDest[dest]; return ok || len(d.byDest) == 0 }
+
+// Lists tells whether an endpoint is in the list.
+func (d *Directory) Lists(id string) bool { _, ok := d.dest[id]; return ok }
+
 // Failed notes that a watch or a fetch failed; the list stays as it was.
 func (d *Directory) Failed() {
 	d.Heard++
@@ -65,18 +81,18 @@
 
 func (d *Directory) put(e Endpoint) {
 	known := d.byDest[e.Dest]
-	for i := range known {
-		if known[i].ID != e.ID {
-			continue
-		}
-		if e.Stage == Gone {
-			d.byDest[e.Dest] = append(known[:i:i], known[i+1:]...)
-		} else {
-			known[i] = e
-		}
+	if i := slices.IndexFunc(known, e.is); i >= 0 && e.Stage != Gone {
+		known[i] = e
 		return
 	}
+	if dest, ok := d.dest[e.ID]; ok { // gone, or moved: it may be told of without its destination
+		d.byDest[dest] = slices.DeleteFunc(slices.Clone(d.byDest[dest]), e.is)
+		delete(d.dest, e.ID)
+	}
 	if e.Stage != Gone {
-		d.byDest[e.Dest] = append(known, e)
+		d.byDest[e.Dest] = append(d.byDest[e.Dest], e)
+		d.dest[e.ID] = e.Dest
 	}
 }
+
+func (e Endpoint) is(x Endpoint) bool { return x.ID == e.ID }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,7 +3,9 @@
 package gateway
 
 import (
+	"maps"
 	"math"
+	"slices"
 
 	"orchiddrift/decide"
 	"orchiddrift/directory"
@@ -106,6 +108,7 @@
 		} else {
 			g.dir.Change(e.Endpoints)
 		}
+		g.forget()
 	case ListLost:
 		g.dir.Failed()
 	case Noticed:
@@ -308,6 +311,21 @@
 	}
 }
 
+// forget lets go, at each news of the list, of what belongs to none any more: idle connections to endpoints that are
+// gone, and when destinations no longer known last told a wait.
+func (g *Gateway) forget() {
+	for _, id := range slices.Sorted(maps.Keys(g.idle)) {
+		if len(g.idle[id]) > 0 && g.dir.Lists(id) {
+			continue
+		}
+		for _, c := range g.idle[id] {
+			g.do(Shut{c})
+		}
+		delete(g.idle, id)
+	}
+	maps.DeleteFunc(g.waits, func(dest string, _ float64) bool { return !g.dir.Known(dest) })
+}
+
 func (g *Gateway) keep(e directory.Endpoint, conn *push.Conn) {
 	g.idle[e.ID] = append(g.idle[e.ID], conn)
 }
--- /dev/null
+++ b/intake/clients.go
@@ -0,0 +1,87 @@
+package intake
+
+import (
+	"net"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+)
+
+// clients is a listener with so many connections open at most. Where one more comes, another that has no request
+// open makes room: of those that never sent a whole request the oldest, else the one idle for longest. So clients
+// that connect and say nothing, or half of something, do not shut out those that ask. It does harm where a client
+// takes long over its first request while hundreds connect.
+type clients struct {
+	net.Listener
+	most  int
+	lock  sync.Mutex
+	open  map[*client]bool
+	moves int
+}
+
+// client is a connection from a client.
+type client struct {
+	net.Conn
+	all    *clients
+	served bool // it has had an answer
+	busy   bool // a request of it was read whole and is not answered yet
+	moved  int  // the later it came or was answered last, the more
+}
+
+// Accept waits for the next connection.
+func (l *clients) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &client{Conn: conn, all: l}
+		if l.add(c) {
+			return c, nil
+		}
+		_ = conn.Close() // all others have a request open
+	}
+}
+
+func (l *clients) add(c *client) bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if len(l.open) >= l.most {
+		var out *client
+		for x := range l.open {
+			if !x.busy && (out == nil || !x.served && out.served || x.served == out.served && x.moved < out.moved) {
+				out = x
+			}
+		}
+		if out == nil {
+			return false
+		}
+		delete(l.open, out)
+		_ = out.Conn.Close()
+	}
+	l.moves++
+	c.moved = l.moves
+	l.open[c] = true
+	return true
+}
+
+// asked notes that a request was read whole.
+func (c *client) asked() {
+	c.all.lock.Lock()
+	defer c.all.lock.Unlock()
+	c.busy = true
+}
+
+// state notes that a connection's request was answered, or that it is closed.
+func state(conn net.Conn, s fasthttp.ConnState) {
+	c := conn.(*client)
+	c.all.lock.Lock()
+	defer c.all.lock.Unlock()
+	switch s {
+	case fasthttp.StateIdle:
+		c.all.moves++
+		c.busy, c.served, c.moved = false, true, c.all.moves
+	case fasthttp.StateClosed:
+		delete(c.all.open, c)
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -2,6 +2,7 @@
 package intake
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
@@ -20,8 +21,9 @@
 const (
 	mostBody = 64 << 10
 	mostHead = 4 << 10
-	idleFor  = time.Minute
-	slowRead = 10 * time.Second
+	idleFor  = 3 * time.Second // a client that has asked and keeps its connection
+	slowRead = 2 * time.Second // from a connection's start, or a further request's first byte, to its last
+	linesOf  = 10              // bad requests that the log names in a second
 )
 
 // Server answers clients.
@@ -30,6 +32,7 @@
 	knows func(topic string) bool
 	tell  func(gateway.Event)
 	log   zerolog.Logger
+	conns int
 	http  *fasthttp.Server
 	leave atomic.Bool
 }
@@ -37,16 +40,19 @@
 // NewServer returns a server that hands each message to tell, and holds so many connections at most.
 func NewServer(clock func() float64, knows func(string) bool, tell func(gateway.Event), conns int,
 	log zerolog.Logger) *Server {
-	s := &Server{clock: clock, knows: knows, tell: tell, log: log}
-	s.http = &fasthttp.Server{Handler: s.handle, Concurrency: conns, MaxRequestBodySize: mostBody,
-		ReadBufferSize: mostHead, ErrorHandler: s.unreadable,
+	s := &Server{clock: clock, knows: knows, tell: tell, conns: conns,
+		log: log.Sample(&zerolog.BurstSampler{Burst: linesOf, Period: time.Second})}
+	s.http = &fasthttp.Server{Handler: s.handle, Concurrency: 2 * conns, MaxRequestBodySize: mostBody,
+		ReadBufferSize: mostHead, ErrorHandler: s.unreadable, ConnState: state,
 		IdleTimeout: idleFor, ReadTimeout: slowRead, WriteTimeout: slowRead, NoDefaultServerHeader: true,
 		NoDefaultContentType: true, CloseOnShutdown: true, Logger: quiet{}}
 	return s
 }
 
 // Serve answers on a listener until Close.
-func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
+func (s *Server) Serve(ln net.Listener) error {
+	return s.http.Serve(&clients{Listener: ln, most: s.conns, open: map[*client]bool{}})
+}
 
 // Leave closes each client's connection with its next answer, so that the client goes elsewhere.
 func (s *Server) Leave() { s.leave.Store(true) }
@@ -61,6 +67,7 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	ctx.Conn().(*client).asked()
 	if s.leave.Load() {
 		ctx.SetConnectionClose()
 	}
@@ -99,6 +106,9 @@
 // decode reads the message of a request. It keeps no part of the request itself.
 func (s *Server) decode(ctx *fasthttp.RequestCtx) (*message.Message, error) {
 	h := &ctx.Request.Header
+	if twoLengths(h.RawHeaders()) {
+		return nil, errors.New("both Content-Length and Transfer-Encoding: where the request ends is not certain")
+	}
 	m := &message.Message{Mark: string(h.Peek("Idempotency-Key")), Body: append([]byte(nil), ctx.PostBody()...)}
 	m.ID, m.Topic, m.Tenant = string(h.Peek("X-Call-Id")), string(h.Peek("X-Call-Class")), string(h.Peek("X-Caller"))
 	m.Key = string(h.Cookie("about"))
@@ -124,6 +134,18 @@
 	return m, nil
 }
 
+// twoLengths tells that a request says in two ways where it ends. Those who read it the other way may find a second
+// request in its body, so nothing of it goes on; the library closes the connection. A client that means no harm
+// never sends both.
+func twoLengths(head []byte) bool {
+	seen := map[string]bool{}
+	for _, line := range bytes.Split(head, []byte("\n")) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		seen[strings.ToLower(string(bytes.TrimSpace(name)))] = true
+	}
+	return seen["content-length"] && seen["transfer-encoding"]
+}
+
 func separator(r rune) bool { return r == ' ' || r == ',' || r == ';' }
 
 // span reads a time: a number and its unit, m for milliseconds or u for microseconds.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -73,7 +75,8 @@
 	_, addr := start(gateway.Reply{Taken: true})
 	for _, change := range [][2]string{{"X-Call-Id: a1\n", ""}, {"order", "letter"}, {"dest=7", "dest=x"},
 		{"dest=7", "to=7"}, {"480m", "480"}, {"480m", "-1m"}, {"480m", "NaNm"}, {"X-Budget: 480m\n", ""},
-		{"Length: 5", "Length: 65537"}, {"POST", "GET"}, {"/api", "/other"}, {"HTTP/1.1", "what"}} {
+		{"Length: 5", "Length: 65537"}, {"POST", "GET"}, {"/api", "/other"}, {"HTTP/1.1", "what"},
+		{"Length: 5", "Length: 5\nContent-Length: 4"}, {"Length: 5", "Length: -5"}} {
 		fmt.Printf("%q for %q: ", change[1], change[0])
 		ask(addr, strings.Replace(good, change[0], change[1], 1))
 	}
@@ -90,4 +93,44 @@
 	// "GET" for "POST": 405  false
 	// "/other" for "/api": 404  false
 	// "what" for "HTTP/1.1": 400  true
+	// "Length: 5\nContent-Length: 4" for "Length: 5": 400  true
+	// "Length: -5" for "Length: 5": 400  true
+}
+
+// A request that says in two ways where it ends goes no further, and neither does one hidden in its body.
+func Example_hidden() {
+	_, addr := start(gateway.Reply{Taken: true})
+	ask(addr, strings.NewReplacer("Length: 5", "Length: 5\nTransfer-Encoding: chunked", "hello", "0\n\n"+good).Replace(good))
+	// Output:
+	// 400  true
+}
+
+// Connections that say nothing, or half of something, make room for one that asks, and end within the time.
+func Example_silent() {
+	_, addr := start(gateway.Reply{Taken: true})
+	idle, _ := net.Dial("tcp", addr)
+	fmt.Fprint(idle, "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+	_, _ = http.ReadResponse(bufio.NewReader(idle), nil)
+	begun := time.Now()
+	var silent []net.Conn
+	for range 15 {
+		conn, _ := net.Dial("tcp", addr)
+		fmt.Fprint(conn, "POST /api HTTP/1.1\r\nX-Call-Id: ")
+		silent = append(silent, conn)
+	}
+	ask(addr, good)
+	fmt.Fprint(idle, "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(idle), nil)
+	fmt.Println(resp.StatusCode, err)
+	at := map[bool]int{}
+	for _, conn := range silent {
+		_, _ = io.Copy(io.Discard, conn)
+		at[time.Since(begun) < time.Second]++
+	}
+	fmt.Println(at, time.Since(begun) < 3*time.Second)
+	// Output:
+	// a1 order acme 7 "7f3a" until 1000.48: "5c0f" "hello"
+	// 202  false
+	// 200 <nil>
+	// map[false:8 true:7] true
 }
--- a/push/call.go
+++ b/push/call.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	mostBody = 1 << 20  // of an answer
+	mostBody = 64 << 10 // of an answer
 	mostCall = 64 << 10 // of a call with several messages
 	wrapping = 256      // what stands round a message there
 )
@@ -54,10 +54,13 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	encode(req, c.addr, list, wait)
-	end, reusable := c.exchange(req, resp, time.Now().Add(seconds(wait)))
+	end, reusable := c.exchange(req, resp, len(list) == 1, time.Now().Add(seconds(wait)))
 	if !reusable {
 		c.Close()
 	}
+	if end == Unusable && len(list) > 1 {
+		end = ListUnusable
+	}
 	a := All(len(list), end)
 	if end > Unreadable {
 		return a
--- a/push/conn.go
+++ b/push/conn.go
@@ -15,7 +15,10 @@
 
 var doneLine = regexp.MustCompile(`^HTTP/1\.[01] 200\b[^\n]*\n`)
 
-const glance = time.Millisecond
+const (
+	glance = time.Millisecond
+	restIn = 250 * time.Millisecond
+)
 
 // Conn is a connection to an endpoint.
 type Conn struct {
@@ -63,8 +66,9 @@
 }
 
 // exchange writes a request and reads its answer until the deadline. The last result tells whether the
-// connection can carry another call.
-func (c *Conn) exchange(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) (End, bool) {
+// connection can carry another call. A spoilt answer, one that cannot be read to its end, may stand for a push that
+// ran, whatever its head says; alone with one message it is true if its first line reads 200.
+func (c *Conn) exchange(req *fasthttp.Request, resp *fasthttp.Response, alone bool, deadline time.Time) (End, bool) {
 	if c.net.SetDeadline(deadline) != nil {
 		return BrokeEarly, false
 	}
@@ -74,36 +78,62 @@
 	if err := c.out.Flush(); err != nil {
 		return BrokeEarly, false
 	}
-	err := resp.Header.Read(c.in)
-	if err != nil && timedOut(err) && c.net.SetDeadline(time.Now().Add(glance)) == nil {
-		// A process that stood still finds its deadline passed and the answer there: look once more.
-		err = resp.Header.Read(c.in)
-	}
-	for err == nil && resp.StatusCode() < fasthttp.StatusOK { // on its way
-		err = resp.Header.Read(c.in)
-	}
-	if err != nil {
-		begun, _ := c.in.Peek(c.in.Buffered())
+	if err := c.begins(deadline); err != nil {
 		switch {
-		case doneLine.Match(begun): // delivered, whatever became of the rest
-			resp.SetStatusCode(fasthttp.StatusOK)
-			return Done, false
 		case c.shut.Load():
 			return CutOff, false
 		case timedOut(err):
 			return Silent, false
-		case len(begun) > 0:
-			return Unreadable, false
 		}
 		return BrokeLate, false
 	}
-	if code := resp.StatusCode(); code != fasthttp.StatusNoContent && code != fasthttp.StatusNotModified {
+	err := c.head(resp)
+	for err == nil && resp.StatusCode() < fasthttp.StatusOK { // on its way
+		if err = c.begins(deadline); err == nil {
+			err = c.head(resp)
+		}
+	}
+	done := err == nil && resp.StatusCode() == fasthttp.StatusOK
+	if err != nil {
+		begun, _ := c.in.Peek(c.in.Buffered())
+		done = doneLine.Match(begun)
+	} else if code := resp.StatusCode(); code != fasthttp.StatusNoContent && code != fasthttp.StatusNotModified {
 		err = resp.ReadBody(c.in, mostBody)
 	}
 	if err == nil {
 		err = c.net.SetDeadline(time.Time{}) // an idle connection has none: one that passed would look like its end
+		return answers(resp), err == nil && !resp.ConnectionClose() && c.in.Buffered() == 0
+	}
+	switch {
+	case alone && done:
+		return Done, false
+	case c.shut.Load():
+		return CutOff, false
+	}
+	return Unreadable, false
+}
+
+// begins waits for an answer's first byte. A process that stood still finds its deadline passed and the answer
+// there: it looks once more.
+func (c *Conn) begins(deadline time.Time) error {
+	err := c.net.SetDeadline(deadline)
+	if err == nil {
+		_, err = c.in.Peek(1)
+	}
+	if err != nil && timedOut(err) && c.net.SetDeadline(time.Now().Add(glance)) == nil {
+		_, err = c.in.Peek(1)
+	}
+	return err
+}
+
+// head reads an answer's head; its rest and its body have to follow soon, so that an answer that never ends holds no
+// slot. This does harm where an endpoint takes longer between the first byte of its answer and the last.
+func (c *Conn) head(resp *fasthttp.Response) error {
+	if err := c.net.SetDeadline(time.Now().Add(restIn)); err != nil {
+		return err
 	}
-	return answers(resp), err == nil && !resp.ConnectionClose()
+	resp.Header.Reset()
+	return resp.Header.Read(c.in)
 }
 
 // answers reads the status line and what goes with it.
@@ -124,6 +154,8 @@
 		return Void
 	case fasthttp.StatusInternalServerError:
 		return Erred
+	case fasthttp.StatusBadRequest, fasthttp.StatusRequestEntityTooLarge:
+		return Unusable
 	}
 	return Unreadable
 }
--- a/push/end.go
+++ b/push/end.go
@@ -5,23 +5,25 @@
 // End is one way in which a call, or the connection it was to use, can end.
 type End int
 
-// The ends. Those up to Spent are answers; the others are what became of the connection.
+// The ends. Those up to Unreadable are answers; the others are what became of the connection.
 const (
-	Done       End = iota // answered as delivered
-	Erred                 // answered with an error
-	TurnedAway            // turned away unseen, perhaps told to wait
-	OverSlots             // not sent: all slots were taken
-	Void                  // not sent: the message is over
-	Spent                 // not sent: the message has had all its pushes
-	Unreadable            // an answer that says nothing we know
-	Refused               // no connection: refused
-	NeverUp               // no connection in the time there was
-	BrokeEarly            // the connection broke before the call's last byte was written
-	BrokeLate             // it broke, or ended, after that
-	Silent                // no answer in the time there was
-	CutOff                // we gave the call up
-	GivenBack             // never sent: what was told meanwhile forbids it, or the call is full
-	Unkept                // never sent: the ledger did not take its start
+	Done         End = iota // answered as delivered
+	Erred                   // answered with an error
+	TurnedAway              // turned away unseen, perhaps told to wait
+	OverSlots               // not sent: all slots were taken
+	Void                    // not sent: the message is over
+	Spent                   // not sent: the message has had all its pushes
+	Unusable                // not run: the endpoint cannot read the message
+	ListUnusable            // not run: it cannot read a call with several; which is at fault is not told
+	Unreadable              // an answer that says nothing we know
+	Refused                 // no connection: refused
+	NeverUp                 // no connection in the time there was
+	BrokeEarly              // the connection broke before the call's last byte was written
+	BrokeLate               // it broke, or ended, after that
+	Silent                  // no answer in the time there was
+	CutOff                  // we gave the call up
+	GivenBack               // never sent: what was told meanwhile forbids it, or the call is full
+	Unkept                  // never sent: the ledger did not take its start
 )
 
 // ends says of each end its name in the log, the module's result, and whether nothing more is owed.
@@ -30,21 +32,23 @@
 	result decide.Result
 	over   bool
 }{
-	Done:       {"done", decide.Delivered, true},
-	Erred:      {"erred", decide.Failed, false},
-	TurnedAway: {"turned away", decide.Throttled, false},
-	OverSlots:  {"over slots", decide.Moot, false},
-	Void:       {"void", decide.Moot, true},
-	Spent:      {"spent", decide.Moot, false},
-	Unreadable: {"unreadable", decide.Failed, false},
-	Refused:    {"refused", decide.NotConnected, false},
-	NeverUp:    {"never up", decide.NotConnected, false},
-	BrokeEarly: {"broke early", decide.NotConnected, false},
-	BrokeLate:  {"broke late", decide.Reset, false},
-	Silent:     {"silent", decide.TimedOut, false},
-	CutOff:     {"cut off", decide.Cancelled, false},
-	GivenBack:  {"given back", decide.Moot, false},
-	Unkept:     {"unkept", decide.Moot, false},
+	Done:         {"done", decide.Delivered, true},
+	Erred:        {"erred", decide.Failed, false},
+	TurnedAway:   {"turned away", decide.Throttled, false},
+	OverSlots:    {"over slots", decide.Moot, false},
+	Void:         {"void", decide.Moot, true},
+	Spent:        {"spent", decide.Moot, false},
+	Unusable:     {"unusable", decide.Moot, false},
+	ListUnusable: {"list unusable", decide.Moot, false},
+	Unreadable:   {"unreadable", decide.Failed, false},
+	Refused:      {"refused", decide.NotConnected, false},
+	NeverUp:      {"never up", decide.NotConnected, false},
+	BrokeEarly:   {"broke early", decide.NotConnected, false},
+	BrokeLate:    {"broke late", decide.Reset, false},
+	Silent:       {"silent", decide.TimedOut, false},
+	CutOff:       {"cut off", decide.Cancelled, false},
+	GivenBack:    {"given back", decide.Moot, false},
+	Unkept:       {"unkept", decide.Moot, false},
 }
 
 // String is the end's name in the log.
@@ -53,7 +57,7 @@
 // Outcome gives the module's outcome of a push that ended so.
 func (e End) Outcome() decide.Outcome {
 	return decide.Outcome{Result: ends[e].result, Over: ends[e].over, NoSlot: e == OverSlots,
-		Unsent: e == GivenBack}
+		Unsent: e == GivenBack, Spent: e == Spent || e == Unusable}
 }
 
 // MayHaveRun tells that the push may have taken effect.
--- a/push/push_test.go
+++ b/push/push_test.go
@@ -155,3 +155,46 @@
 	// false
 	// [cut off]
 }
+
+// Spoilt answers on connections that stay open: true alone if the first line reads 200, else they may have run
+// whatever their head says; none is waited for to the end of the call's time. What comes behind an answer ends its
+// connection.
+func Example_spoilt() {
+	begun := time.Now()
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\nContent-Length: 9\n\nhalf", "HTTP/1.1 200 OK\nX-No-End: 1\n", "HTTP/1.1 200 OK\n\n",
+		"HTTP/1.1 200 OK\nContent-Length: 3000000000\n\nlots", "HTTP/1.1 200 OK\nContent-Length: what\n\n",
+		"HTTP/1.1 503 Service Unavailable\nContent-Length: 9\n\nhalf", "HTTP/1.1 429 Too Many", "\x01\x02\x03 noise",
+		"HTTP/1.1 100 Continue\n\nHTTP/1.1 200 OK\nContent-Length: 0\n\n",
+		"HTTP/1.1 200 OK\nContent-Length: 0\n\nHTTP/1.1 200 OK\nContent-Length: 0\n\n",
+		"HTTP/1.1 400 Bad Request\nContent-Length: 0\n\n",
+	} {
+		send(endpoint(false, text, "hang"), 5, msg("a"))
+		send(endpoint(false, text, "hang"), 5, msg("a"), msg("b"))
+	}
+	fmt.Println(time.Since(begun) < 4*time.Second)
+	// Output:
+	// [done] 0 false 0 0 false
+	// [unreadable unreadable] 0 false 0 0 false
+	// [done] 0 false 0 0 false
+	// [unreadable unreadable] 0 false 0 0 false
+	// [done] 0 false 0 0 false
+	// [unreadable unreadable] 0 false 0 0 false
+	// [done] 0 false 0 0 false
+	// [unreadable unreadable] 0 false 0 0 false
+	// [done] 0 false 0 0 false
+	// [unreadable unreadable] 0 false 0 0 false
+	// [unreadable] 0 false 0 0 false
+	// [unreadable unreadable] 0 false 0 0 false
+	// [unreadable] 0 false 0 0 false
+	// [unreadable unreadable] 0 false 0 0 false
+	// [unreadable] 0 false 0 0 false
+	// [unreadable unreadable] 0 false 0 0 false
+	// [done] 0 false 0 0 true
+	// [unreadable unreadable] 0 false 0 0 true
+	// [done] 0 false 0 0 false
+	// [unreadable unreadable] 0 false 0 0 false
+	// [unusable] 0 false 0 0 true
+	// [list unusable list unusable] 0 false 0 0 true
+	// true
+}
