--- a/decide/decide.go
+++ b/decide/decide.go
@@ -134,7 +134,7 @@
 	h.pushes++
 	h.lastSent = now
 	wait := m.patience(g, end, h)
-	h.call.hurried = h.until-now < wait
+	h.hurried = h.until-now < wait
 	return Answer{Do: Push, Ntf: h.ID, Endpoint: e.ID, Timeout: min(wait, h.until-now)}
 }
 
@@ -164,7 +164,7 @@
 			}
 		}
 		if o.Result != Moot {
-			m.learn(now, c, o)
+			m.learn(now, c, h, o)
 		} else if o.Unsent {
 			h.pushes--
 		} else if o.Spent {
@@ -445,7 +445,7 @@
 }
 
 // learn takes in an outcome: the throttle's report, refusals, and health.
-func (m *Module) learn(now float64, c *call, o Outcome) {
+func (m *Module) learn(now float64, c *call, h *held, o Outcome) {
 	g, end := c.gate, c.end
 	if o.Reported {
 		g.limit = o.Limit
@@ -485,7 +485,7 @@
 		if o.Result == NotConnected || o.Result == Reset {
 			m.scarce[end.kind] = now + m.pushes.IdleClose
 		}
-		if c.hurried && o.Result == TimedOut { // it had little time left: its end says nothing of the endpoint
+		if h.hurried && o.Result == TimedOut { // it had little time left: its end says nothing of the endpoint
 			return
 		}
 		if c.judged || c.at < g.proof { // one fate for all in a call; old news where a later push was answered
--- a/decide/state.go
+++ b/decide/state.go
@@ -58,6 +58,7 @@
 	beyond   bool // it came beyond its tenant's share
 	shed     bool // its place was taken by one worth more
 	lastSent float64
+	hurried  bool // its push's time-out was cut to the time left
 }
 
 // due is when the objective ends.
@@ -73,13 +74,12 @@
 
 // call is a call out, shared by the notifications of one turn.
 type call struct {
-	end     *endpoint
-	gate    *gate
-	at      float64
-	size    int  // notifications sent in it
-	riders  int  // of them without outcome
-	judged  bool // its failure was counted
-	hurried bool // its time-out was cut to the time left
+	end    *endpoint
+	gate   *gate
+	at     float64
+	size   int  // notifications sent in it
+	riders int  // of them without outcome
+	judged bool // its failure was counted
 }
 
 // dest is a destination's queue.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,7 +26,7 @@
 	Items    []*message.Message
 	Conn     *push.Conn // once it is sent, the connection that it is out on
 	until    float64    // when the longest of its messages' waits is over
-	last     float64    // when the first of their TTLs ends
+	last     float64    // when the first of the TTLs ends of those still in it
 	placed   float64
 }
 
@@ -42,13 +42,14 @@
 	waits    map[string]float64      // by destination: when it last told a wait
 	forming  []*Call                 // the calls of this turn
 	overfull []*Call                 // and what they had no room for
+	shared   []*Call                 // calls under way with several messages
 	leaving  bool
 	stopped  bool
 	effects  []Effect
 }
 
 // left is how long the call may still wait.
-func (c *Call) left(now float64) float64 { return max(0, min(c.until, c.last)-now) }
+func (c *Call) left(now float64) float64 { return max(0, c.until-now) }
 
 // item is a message in hand.
 type item struct {
@@ -128,12 +129,16 @@
 	if g.stopped {
 		return nil, math.Inf(1)
 	}
+	g.lapse(now)
 	for {
 		wait, id := g.module.Wait(now)
 		if wait > 0 {
 			if g.start(now) {
 				wait = 0
 			}
+			for _, c := range g.shared {
+				wait = min(wait, max(0, c.last-now))
+			}
 			return g.done(), wait
 		}
 		ntf := decide.Notification{}
@@ -198,8 +203,8 @@
 }
 
 // join puts a push into the latest call of this turn to its endpoint that has room, or into a new one. A call
-// has one connection and so one end: it is waited for as long as any message in it may wait, but no longer than
-// each has left.
+// has one connection and so one end: it is waited for as long as any message in it may wait; one whose TTL ends
+// before leaves it.
 func (g *Gateway) join(now float64, a decide.Answer) {
 	it := g.hand[a.Ntf]
 	until := now + a.Timeout
@@ -227,6 +232,9 @@
 // is given back; it tells whether there was any, whose turn is then to be asked again.
 func (g *Gateway) start(now float64) bool {
 	for _, c := range g.forming {
+		if len(c.Items) > 1 {
+			g.shared = append(g.shared, c)
+		}
 		if conn := g.reuse(c.Endpoint); conn != nil {
 			g.begin(now, c, conn)
 		} else {
@@ -258,12 +266,13 @@
 // no longer listed as ready, the connection is kept and the module asked again.
 func (g *Gateway) connected(now float64, e Connected) {
 	c := e.Call
+	c.Items = slices.DeleteFunc(c.Items, func(m *message.Message) bool { return !g.on(c, m) })
 	if e.Conn == nil {
 		g.ended(now, c, push.All(len(c.Items), e.End))
 		return
 	}
-	listed, _ := g.dir.Find(c.Items[0].Dest, c.Endpoint.ID)
-	if listed.Stage != directory.Ready || g.waits[c.Items[0].Dest] > c.placed || g.stopped {
+	listed, _ := g.dir.Find(c.Endpoint.Dest, c.Endpoint.ID)
+	if listed.Stage != directory.Ready || g.waits[c.Endpoint.Dest] > c.placed || g.stopped || len(c.Items) == 0 {
 		g.keep(c.Endpoint, e.Conn)
 		g.ended(now, c, push.All(len(c.Items), push.GivenBack))
 		return
@@ -280,16 +289,62 @@
 	g.do(Begin{c, records, c.left(now)})
 }
 
-// ended takes in how a call ended, for each of its messages.
+// on tells that a message is still out on a call.
+func (g *Gateway) on(c *Call, m *message.Message) bool {
+	return g.hand[m.ID] != nil && g.hand[m.ID].call == c
+}
+
+// lapse takes messages whose TTL has ended out of calls that others are still waited for in. It guards those: the
+// oldest go first, and after an outage a call that ended with its first message's TTL would take all others' pushes
+// with it, again and again.
+func (g *Gateway) lapse(now float64) {
+	for _, c := range slices.Clone(g.shared) {
+		if c.last > now {
+			continue
+		}
+		end, last := push.Silent, math.Inf(1)
+		if c.Conn == nil {
+			end = push.GivenBack
+		}
+		var over []*message.Message
+		for _, m := range c.Items {
+			if g.on(c, m) && m.Until > now {
+				last = min(last, m.Until)
+			} else if g.on(c, m) {
+				over = append(over, m)
+			}
+		}
+		g.end(now, c, over, push.All(len(over), end))
+		if c.last = last; c.Conn != nil && math.IsInf(last, 1) {
+			g.do(Shut{c.Conn})
+		}
+	}
+}
+
+// ended takes in how a call ended, for each message still on it.
 func (g *Gateway) ended(now float64, c *Call, a push.Answer) {
+	g.shared = slices.DeleteFunc(g.shared, func(x *Call) bool { return x == c })
 	if c.Conn != nil && a.Reusable {
 		g.keep(c.Endpoint, c.Conn)
 	}
 	if a.Wait > 0 {
-		g.waits[c.Items[0].Dest] = now
+		g.waits[c.Endpoint.Dest] = now
 	}
-	var records []ledger.Record
+	var on []*message.Message
+	var ends []push.End
 	for i, m := range c.Items {
+		if g.on(c, m) {
+			on, ends = append(on, m), append(ends, a.Ends[i])
+		}
+	}
+	a.Ends = ends
+	g.end(now, c, on, a)
+}
+
+// end takes in how a call ended for some of its messages: the ledger has it before the module.
+func (g *Gateway) end(now float64, c *Call, list []*message.Message, a push.Answer) {
+	var records []ledger.Record
+	for i, m := range list {
 		kind := ledger.NotRun
 		if o := a.Ends[i].Outcome(); o.Over {
 			kind = ledger.Over
@@ -299,7 +354,7 @@
 		records = append(records, ledger.Record{Kind: kind, ID: m.ID})
 	}
 	g.do(Keep{records})
-	for i, m := range c.Items {
+	for i, m := range list {
 		g.hand[m.ID].call = nil
 		o := a.Ends[i].Outcome()
 		o.Ntf, o.Endpoint, o.Latency, o.Wait = m.ID, c.Endpoint.ID, now-c.placed, a.Wait
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -152,7 +152,6 @@
 	// 0.00  accept A1
 	// 0.00  accept A2
 	// 0.00  dial A for A1+A2 within 1.50
-	// 0.00  nothing to wait for
 	// 0.00  begin A1+A2 to A within 8.00, keep began A1, began A2
 	// 0.10  keep over A1, notrun A2
 	// 1.50  begin A2 to A within 8.00, keep began A2
@@ -206,7 +205,6 @@
 	// 0.00  accept A3
 	// 0.00  dial A for A1+A2 within 1.50
 	// 0.00  dial A for A3 within 1.50
-	// 0.00  nothing to wait for
 	// 0.00  begin A1+A2 to A within 2.50, keep began A1, began A2
 	// 0.02  keep notrun A1, notrun A2
 	// 0.02  keep notrun A3
@@ -299,3 +297,48 @@
 	// true 1
 	// 0.10  answer {Taken:false RetryIn:0}
 }
+
+// Two messages share a call and the TTL of one ends: it leaves, and the other is waited for as before.
+func Example_lapse() {
+	b := newBench("A")
+	defer b.ln.Close()
+	b.take("reading", "A1")
+	b.now += 18
+	b.take("order", "A2")
+	b.at(18)
+	b.open("A1")
+	b.at(19.9)
+	b.at(20)
+	b.step(gateway.Noticed{ID: "A1"})
+	b.now += 0.5
+	b.end("A2", push.All(2, push.Done))
+	// Output:
+	// 0.00  accept A1
+	// 18.00  accept A2
+	// 18.00  dial A for A1+A2 within 1.50
+	// 18.00  begin A1+A2 to A within 8.00, keep began A1, began A2
+	// 20.00  keep mayrun A1
+	// 20.00  keep noticed A1
+	// 20.00  notify A1 handed_back 1.00
+	// 20.00  keep over A1
+	// 20.50  keep over A2
+}
+
+// Idle connections to an endpoint that is gone are closed with the news.
+func Example_gone() {
+	b := newBench("A")
+	defer b.ln.Close()
+	b.take("reading", "A1")
+	b.at(0)
+	b.open("A1")
+	b.end("A1", push.Answer{Ends: []push.End{push.Done}, Reusable: true})
+	b.now++
+	b.step(gateway.Listed{Endpoints: []directory.Endpoint{b.line("A", directory.Gone)}})
+	// Output:
+	// 0.00  accept A1
+	// 0.00  dial A for A1 within 1.50
+	// 0.00  nothing to wait for
+	// 0.00  begin A1 to A within 2.50, keep began A1
+	// 0.00  keep over A1
+	// 1.00  shut
+}
