--- a/cmd/orchiddrift/main.go
+++ b/cmd/orchiddrift/main.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	server := intake.NewServer(clock, p.module.Knows, r.Tell, c.Limits.Sockets/2, log)
+	server := intake.NewServer(clock, p.module.TTL, r.Tell, c.Limits.Sockets/2, log)
 	stop, failed := make(chan struct{}), make(chan error, 1)
 	go func() {
 		if err := server.Serve(ln); err != nil {
--- a/cmd/simhost/events.go
+++ b/cmd/simhost/events.go
@@ -104,7 +104,7 @@
 			Key: line.Optional(3), Left: f.seconds(4, "left-ms"), Dest: f.text(6, "addressee-no")}
 		f.float(5, "hint-ms")
 		f.int(7, "attrs")
-		if f.err == nil && !x.module.Knows(ntf.Topic) {
+		if _, known := x.module.TTL(ntf.Topic); f.err == nil && !known {
 			f.err = line.Bad("grade", ntf.Topic)
 		}
 		if f.err != nil {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -6,12 +6,12 @@
 // The ordinary path of a notification is Place, top to bottom; turns and allowances are DESIGN's.
 //
 // Beside the design stand six mechanisms:
-//  1. silence: an endpoint unusually silent, or that broke a push, is set aside: a fixed time, a random part
+//  1. silence: an endpoint unusually silent, or that breaks pushes, is set aside: a fixed time, a random part
 //  2. return budget: a destination that failed gets this dispatcher's part of what a cold one can take
-//  3. idle connections: many dispatchers keep theirs open for less long
+//  3. idle connections: many keep theirs open for less long; after a break once-only goes on new ones
 //  4. patience: time-outs follow the answer times last seen
 //  5. winnable: what cannot be delivered any more is answered at once; a full queue keeps what is worth most
-//  6. pace: after refusals a destination is sent what it lately took, at moments of its own, then slowly more
+//  6. pace: after refusals a destination is sent what it lately took, in time and at once, then slowly more
 package decide
 
 import (
--- a/decide/state.go
+++ b/decide/state.go
@@ -226,8 +226,8 @@
 	return ""
 }
 
-// Knows tells whether a topic type is among the settings.
-func (m *Module) Knows(topic string) bool { _, ok := m.topics[topic]; return ok }
+// TTL gives a topic type's, and tells whether it is among the settings.
+func (m *Module) TTL(topic string) (float64, bool) { t, ok := m.topics[topic]; return t.TTL, ok }
 
 // last appends a sample and keeps the newest n.
 func last[T any](s []T, v T, n int) []T {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,7 @@
 	hand     map[string]*item        // by message
 	idle     map[string][]*push.Conn // by endpoint, the latest used last
 	waits    map[string]float64      // by destination: when it last told a wait
+	past     map[string]float64      // messages that are over, until their TTL ends
 	forming  []*Call                 // the calls of this turn
 	overfull []*Call                 // and what they had no room for
 	shared   []*Call                 // calls under way with several messages
@@ -64,7 +65,7 @@
 func New(module *decide.Module, dir *directory.Directory, room func(int) bool, batch map[string]int,
 	dial float64) *Gateway {
 	return &Gateway{module: module, dir: dir, room: room, batch: batch, dial: dial, hand: map[string]*item{},
-		idle: map[string][]*push.Conn{}, waits: map[string]float64{}}
+		idle: map[string][]*push.Conn{}, waits: map[string]float64{}, past: map[string]float64{}}
 }
 
 // Restore takes back, in the order they were taken, the messages owed since before a restart.
@@ -111,9 +112,10 @@
 		} else {
 			g.dir.Change(e.Endpoints)
 		}
-		g.forget()
+		g.forget(now)
 	case ListLost:
 		g.dir.Failed()
+		g.forget(now)
 	case Noticed:
 		g.do(Keep{[]ledger.Record{{Kind: ledger.Over, ID: e.ID}}})
 		g.over(now, e.ID)
@@ -154,7 +156,7 @@
 // arrived takes a message on, or refuses it.
 func (g *Gateway) arrived(now float64, e Arrived) {
 	m := e.Message
-	if g.hand[m.ID] != nil { // handed in again though we have it
+	if _, past := g.past[m.ID]; past || g.hand[m.ID] != nil { // handed in again though we have it, or had
 		g.do(Answer{e.Reply, Reply{Taken: true}})
 		return
 	}
@@ -372,14 +374,15 @@
 		o.Reported, o.Share, o.Limit = a.Reported, a.Share, a.Limit
 		g.answer(now, g.module.After(now, o))
 		if it.heard || o.Over && !it.ending {
-			delete(g.hand, m.ID)
+			g.drop(m.ID)
 		}
 	}
 }
 
 // forget lets go, at each news of the list, of what belongs to none any more: idle connections to endpoints that are
-// gone, and when destinations no longer known last told a wait.
-func (g *Gateway) forget() {
+// gone, when destinations no longer known last told a wait, and messages whose TTL has ended since they were over.
+func (g *Gateway) forget(now float64) {
+	maps.DeleteFunc(g.past, func(_ string, until float64) bool { return until < now })
 	for _, id := range slices.Sorted(maps.Keys(g.idle)) {
 		if len(g.idle[id]) > 0 && g.dir.Lists(id) {
 			continue
@@ -392,6 +395,15 @@
 	maps.DeleteFunc(g.waits, func(dest string, _ float64) bool { return !g.dir.Known(dest) })
 }
 
+// drop lets go of a message that is over. Its id is remembered while it could still come again: another client may
+// use it, and what has run must not run twice.
+func (g *Gateway) drop(id string) {
+	if it := g.hand[id]; it != nil {
+		g.past[id] = it.message.Until
+	}
+	delete(g.hand, id)
+}
+
 func (g *Gateway) keep(e directory.Endpoint, conn *push.Conn) {
 	g.idle[e.ID] = append(g.idle[e.ID], conn)
 }
@@ -402,7 +414,7 @@
 	if it := g.hand[id]; it != nil && it.call != nil {
 		it.heard = true
 	} else {
-		delete(g.hand, id)
+		g.drop(id)
 	}
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -383,3 +383,26 @@
 	// 4.00  dial A for A3 within 1.50
 	// 4.00  nothing to wait for
 }
+
+// An id that comes again once its message is over is not pushed again while its TTL lasts.
+func Example_again() {
+	b := newBench("A")
+	defer b.ln.Close()
+	b.take("order", "A1")
+	b.at(0)
+	b.open("A1")
+	b.end("A1", push.All(1, push.Done))
+	b.take("order", "A1")
+	b.at(1)
+	b.now += 20
+	b.step(gateway.Listed{})
+	b.take("order", "A1")
+	// Output:
+	// 0.00  accept A1
+	// 0.00  dial A for A1 within 1.50
+	// 0.00  nothing to wait for
+	// 0.00  begin A1 to A within 8.00, keep began A1
+	// 0.00  keep over A1
+	// 0.00  answer {Taken:true RetryIn:0}
+	// 21.00  accept A1
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -29,7 +29,7 @@
 // Server answers clients.
 type Server struct {
 	clock func() float64
-	knows func(topic string) bool
+	ttl   func(topic string) (float64, bool)
 	tell  func(gateway.Event)
 	log   zerolog.Logger
 	conns int
@@ -38,9 +38,9 @@
 }
 
 // NewServer returns a server that hands each message to tell, and holds so many connections at most.
-func NewServer(clock func() float64, knows func(string) bool, tell func(gateway.Event), conns int,
+func NewServer(clock func() float64, ttl func(string) (float64, bool), tell func(gateway.Event), conns int,
 	log zerolog.Logger) *Server {
-	s := &Server{clock: clock, knows: knows, tell: tell, conns: conns,
+	s := &Server{clock: clock, ttl: ttl, tell: tell, conns: conns,
 		log: log.Sample(&zerolog.BurstSampler{Burst: linesOf, Period: time.Second})}
 	s.http = &fasthttp.Server{Handler: s.handle, Concurrency: 2 * conns, MaxRequestBodySize: mostBody,
 		ReadBufferSize: mostHead, ErrorHandler: s.unreadable, ConnState: state,
@@ -114,7 +114,8 @@
 	if m.ID == "" {
 		return nil, errors.New("X-Call-Id is missing")
 	}
-	if !s.knows(m.Topic) {
+	ttl, known := s.ttl(m.Topic)
+	if !known {
 		return nil, fmt.Errorf("X-Call-Class %q is not known", m.Topic)
 	}
 	for _, pair := range strings.FieldsFunc(string(h.Peek("X-Addressing")), separator) {
@@ -129,7 +130,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m.Until = s.clock() + left
+	m.Until = s.clock() + min(left, ttl) // no client's slip holds a message for days
 	return m, nil
 }
 
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -20,8 +20,8 @@
 
 // start serves with a gateway that takes on or refuses, and gives its address.
 func start(reply gateway.Reply) (*intake.Server, string) {
-	knows := func(topic string) bool { return topic == "order" }
-	s := intake.NewServer(func() float64 { return 1000 }, knows, func(e gateway.Event) {
+	ttl := func(topic string) (float64, bool) { return 9, topic == "order" }
+	s := intake.NewServer(func() float64 { return 1000 }, ttl, func(e gateway.Event) {
 		m := e.(gateway.Arrived).Message
 		fmt.Printf("%s %s %s %s %q until %g: %q %q\n", m.ID, m.Topic, m.Tenant, m.Dest, m.Key, m.Until, m.Mark, m.Body)
 		e.(gateway.Arrived).Reply(reply)
@@ -56,6 +56,7 @@
 	_, addr := start(gateway.Reply{Taken: true})
 	ask(addr, good)
 	ask(addr, strings.NewReplacer("Cookie: about=7f3a\n", "", "Idempotency-Key: 5c0f\n", "", "480m", "250000u").Replace(good))
+	ask(addr, strings.Replace(good, "480m", "99999999m", 1))
 	ask(addr, "GET /_health HTTP/1.1\nHost: a\n\n")
 	s, addr := start(gateway.Reply{RetryIn: 0.25})
 	s.Leave()
@@ -65,6 +66,8 @@
 	// 202  false
 	// a1 order acme 7 "" until 1000.25: "" "hello"
 	// 202  false
+	// a1 order acme 7 "7f3a" until 1009: "5c0f" "hello"
+	// 202  false
 	// 200  false
 	// a1 order acme 7 "7f3a" until 1000.48: "5c0f" "hello"
 	// 503 0.250 true
