The dispatcher is a package of its own; the command line is cobra's

Need: the laboratory starts real dispatchers, also out of tests, and a command with sub-commands, and the program was one main. Exit codes: 0, 1 failure, 2 usage, 3 a rule broke.

Result: all tests as before; one expected text names the type's new package.

--- a/cmd/orchiddrift/main.go
+++ b/cmd/orchiddrift/main.go
@@ -1,142 +1,103 @@
-// Command orchiddrift is a dispatcher: it takes notifications from clients and pushes them to their partners'
-// endpoints.
+// Command orchiddrift is a dispatcher and the laboratory that shows what it does.
 package main
 
 import (
-	"bytes"
+	"errors"
 	"fmt"
-	"math"
-	"net"
 	"os"
-	"os/signal"
-	"runtime"
 	"runtime/debug"
-	"syscall"
-	"time"
 
-	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
 
-	"orchiddrift/directory"
-	"orchiddrift/gateway"
-	"orchiddrift/intake"
-	"orchiddrift/ledger"
-	"orchiddrift/platform"
+	"orchiddrift/dispatcher"
 )
 
-// A planned stop, counted from SIGTERM: clients are taken in until the first moment, pushes start until the
-// second, and those out may end until the third.
+// The exit codes.
 const (
-	clientsUntil = 500 * time.Millisecond
-	startsUntil  = 2200 * time.Millisecond
-	endsUntil    = 3400 * time.Millisecond
+	failure = 1 // it did not work; one line says why
+	usage   = 2 // the call's words are off
+	broken  = 3 // the laboratory saw a rule broken
 )
 
-func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "orchiddrift:", err)
-		os.Exit(1)
-	}
+// exit is an error with the exit code that it asks for.
+type exit struct {
+	code int
+	error
 }
 
-func run() error {
-	c, err := load(os.Getenv)
-	if err != nil {
-		return err
-	}
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
-	debug.SetMemoryLimit(int64(c.Limits.MemoryMB * 1e6 / 2))
-	log := zerolog.New(os.Stderr).With().Timestamp().Str("dispatcher", c.Name).Logger()
+func (e exit) Unwrap() error { return e.error }
 
-	dir := directory.New()
-	p, err := c.parts(dir)
-	if err != nil {
-		return err
-	}
-	dir.Replace(c.Known.Endpoints())
-	book, owed, err := ledger.Open(c.state, int(c.Limits.DiskMB*1e6))
-	if err != nil {
-		return err
-	}
+func main() { os.Exit(execute(os.Args[1:])) }
 
-	clock := sinceStart()
-	agent := platform.NewAgent(c.Discovery, c.Known.Version, log)
-	r := &gateway.Runner{Gateway: gateway.New(p.module, dir, book.Room, p.batch, p.dial), Ledger: book,
-		Platform: agent, Clock: clock, Tick: p.tick, Log: log, Events: make(chan gateway.Event, 1024)}
-	log.Info().Int("owed", len(owed)).Int("listed", len(c.Known.Servers)).Msg("start")
-	r.Restore(owed)
-	go agent.SendNotices()
-	if !c.values.Asked() {
-		agent.Follow(r.Tell)
+// execute runs the command line and gives its exit code.
+func execute(args []string) int {
+	root := newRoot()
+	root.SetArgs(args)
+	err := root.Execute()
+	if err == nil {
+		return 0
 	}
+	code := exit{code: usage}
+	errors.As(err, &code)
+	fmt.Fprintln(os.Stderr, "orchiddrift:", err)
+	return code.code
+}
 
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	go func() {
-		for range reloads {
-			reload(c, agent, log)
-		}
-	}()
-	ln, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return err
-	}
-	server := intake.NewServer(clock, p.module.TTL, r.Tell, c.Limits.Sockets/2, log)
-	stop, failed := make(chan struct{}), make(chan error, 1)
-	go func() {
-		if err := server.Serve(ln); err != nil {
-			failed <- err
-			close(stop)
-		}
-	}()
-	go func() {
-		<-signals
-		begun := time.Now()
-		log.Info().Msg("stopping")
-		server.Leave()
-		time.Sleep(clientsUntil - time.Since(begun))
-		go func() {
-			_ = server.Close() // it waits for those that are still answered
-			r.Tell(gateway.Leaving{})
-		}()
-		time.Sleep(startsUntil - time.Since(begun))
-		r.Tell(gateway.Stopping{})
-		time.Sleep(endsUntil - time.Since(begun))
-		close(stop)
-	}()
-	r.Run(stop)
-	log.Info().Int("held", r.Gateway.Held()).Msg("end")
-	select {
-	case err := <-failed:
-		return err
-	default:
+// failed marks an error as met at work: any other is one of usage.
+func failed(err error) error {
+	if err == nil {
 		return nil
 	}
+	return exit{failure, err}
 }
 
-// reload takes in the configuration again. Discovery may have moved; for anything else the program has to be
-// started anew. A bad configuration changes nothing.
-func reload(old *config, agent *platform.Agent, log zerolog.Logger) {
-	c, err := load(os.Getenv)
-	if err == nil {
-		_, err = c.parts(directory.New())
-	}
-	if err != nil {
-		log.Error().Err(err).Msg("configuration not taken: the old one stays")
-		return
+func newRoot() *cobra.Command {
+	var level, format string
+	run := func(cmd *cobra.Command, _ []string) error {
+		logs, err := dispatcher.NewLogs(os.Stderr, level, format)
+		if err != nil {
+			return err
+		}
+		return failed(dispatcher.Run(os.Getenv, logs))
 	}
-	moved := agent.Move(c.Discovery)
-	log.Info().Str("discovery", c.Discovery).Bool("moved", moved).Msg("configuration taken")
-	if c.Name != old.Name || c.Listen != old.Listen || c.state != old.state || c.Limits != old.Limits ||
-		!bytes.Equal(c.Settings, old.Settings) {
-		log.Warn().Msg("configuration changed beyond discovery: that needs a restart")
+	root := &cobra.Command{
+		Use:   "orchiddrift",
+		Short: "An outbound gateway: notifications pushed to many partners' systems",
+		Long: `An outbound gateway: dispatchers take notifications from clients and push them to many partners' systems.
+
+Without a command it is a dispatcher where ROUTER_CONFIG is set, as "orchiddrift run"; else it prints this page.
+Exit codes: 0 done, 1 failure, 2 usage, 3 the laboratory saw a rule broken.`,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if os.Getenv("ROUTER_CONFIG") != "" {
+				return run(cmd, args)
+			}
+			return cmd.Help()
+		},
 	}
+	root.PersistentFlags().StringVar(&level, "log-level", "info", "debug, info, warn or error")
+	root.PersistentFlags().StringVar(&format, "log-format", "json", "json or console")
+	root.AddCommand(
+		&cobra.Command{Use: "run", Short: "Run a dispatcher, told by the ROUTER_ variables", Args: cobra.NoArgs, RunE: run},
+		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+			Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "orchiddrift", version()) }},
+	)
+	return root
 }
 
-// sinceStart is a clock in Unix seconds that only moves forward.
-func sinceStart() func() float64 {
-	start := time.Now()
-	base := float64(start.UnixNano()) / 1e9
-	return func() float64 { return base + time.Since(start).Seconds() }
+// version is what the build knows of its source.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	v := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" && v == "(devel)" {
+			v = s.Value
+		}
+	}
+	return v + " " + info.GoVersion
 }
--- a/cmd/orchiddrift/main_test.go
+++ b/cmd/orchiddrift/main_test.go
@@ -209,7 +209,7 @@
 	// exit status 1
 	// orchiddrift: DIR/config.json: invalid character ',' looking for beginning of value
 	// exit status 1
-	// orchiddrift: DIR/config.json: json: cannot unmarshal number into Go struct field config.limits of type main.limits
+	// orchiddrift: DIR/config.json: json: cannot unmarshal number into Go struct field config.limits of type dispatcher.limits
 	// exit status 1
 }
 
--- a/cmd/orchiddrift/config.go
+++ b/dispatcher/config.go
@@ -1,4 +1,4 @@
-package main
+package dispatcher
 
 import (
 	"encoding/json"
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,136 @@
+// Package dispatcher wires a dispatcher from its configuration and runs it: it takes notifications from clients and
+// pushes them to their partners' endpoints.
+package dispatcher
+
+import (
+	"bytes"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"orchiddrift/directory"
+	"orchiddrift/gateway"
+	"orchiddrift/intake"
+	"orchiddrift/ledger"
+	"orchiddrift/platform"
+)
+
+// A planned stop, counted from SIGTERM: clients are taken in until the first moment, pushes start until the
+// second, and those out may end until the third.
+const (
+	clientsUntil = 500 * time.Millisecond
+	startsUntil  = 2200 * time.Millisecond
+	endsUntil    = 3400 * time.Millisecond
+)
+
+// Run serves until SIGTERM, SIGINT or an error; getenv gives the ROUTER_ variables, and the log goes to logs as told
+// by its format and level.
+func Run(getenv func(string) string, logs Logs) error {
+	c, err := load(getenv)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
+	debug.SetMemoryLimit(int64(c.Limits.MemoryMB * 1e6 / 2))
+	log := logs.logger().With().Timestamp().Str("dispatcher", c.Name).Logger()
+
+	dir := directory.New()
+	p, err := c.parts(dir)
+	if err != nil {
+		return err
+	}
+	dir.Replace(c.Known.Endpoints())
+	book, owed, err := ledger.Open(c.state, int(c.Limits.DiskMB*1e6))
+	if err != nil {
+		return err
+	}
+
+	clock := sinceStart()
+	agent := platform.NewAgent(c.Discovery, c.Known.Version, log)
+	r := &gateway.Runner{Gateway: gateway.New(p.module, dir, book.Room, p.batch, p.dial), Ledger: book,
+		Platform: agent, Clock: clock, Tick: p.tick, Log: log, Events: make(chan gateway.Event, 1024)}
+	log.Info().Int("owed", len(owed)).Int("listed", len(c.Known.Servers)).Msg("start")
+	r.Restore(owed)
+	go agent.SendNotices()
+	if !c.values.Asked() {
+		agent.Follow(r.Tell)
+	}
+
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go func() {
+		for range reloads {
+			reload(getenv, c, agent, log)
+		}
+	}()
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	server := intake.NewServer(clock, p.module.TTL, r.Tell, c.Limits.Sockets/2, log)
+	stop, failed := make(chan struct{}), make(chan error, 1)
+	go func() {
+		if err := server.Serve(ln); err != nil {
+			failed <- err
+			close(stop)
+		}
+	}()
+	go func() {
+		<-signals
+		begun := time.Now()
+		log.Info().Msg("stopping")
+		server.Leave()
+		time.Sleep(clientsUntil - time.Since(begun))
+		go func() {
+			_ = server.Close() // it waits for those that are still answered
+			r.Tell(gateway.Leaving{})
+		}()
+		time.Sleep(startsUntil - time.Since(begun))
+		r.Tell(gateway.Stopping{})
+		time.Sleep(endsUntil - time.Since(begun))
+		close(stop)
+	}()
+	r.Run(stop)
+	log.Info().Int("held", r.Gateway.Held()).Msg("end")
+	select {
+	case err := <-failed:
+		return err
+	default:
+		return nil
+	}
+}
+
+// reload takes in the configuration again. Discovery may have moved; for anything else the program has to be
+// started anew. A bad configuration changes nothing.
+func reload(getenv func(string) string, old *config, agent *platform.Agent, log zerolog.Logger) {
+	c, err := load(getenv)
+	if err == nil {
+		_, err = c.parts(directory.New())
+	}
+	if err != nil {
+		log.Error().Err(err).Msg("configuration not taken: the old one stays")
+		return
+	}
+	moved := agent.Move(c.Discovery)
+	log.Info().Str("discovery", c.Discovery).Bool("moved", moved).Msg("configuration taken")
+	if c.Name != old.Name || c.Listen != old.Listen || c.state != old.state || c.Limits != old.Limits ||
+		!bytes.Equal(c.Settings, old.Settings) {
+		log.Warn().Msg("configuration changed beyond discovery: that needs a restart")
+	}
+}
+
+// sinceStart is a clock in Unix seconds that only moves forward.
+func sinceStart() func() float64 {
+	start := time.Now()
+	base := float64(start.UnixNano()) / 1e9
+	return func() float64 { return base + time.Since(start).Seconds() }
+}
