--- a/cmd/orchiddrift/main.go
+++ b/cmd/orchiddrift/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -14,9 +15,9 @@
 
 // The exit codes.
 const (
-	failure = 1 // it did not work; one line says why
-	usage   = 2 // the call's words are off
-	broken  = 3 // the laboratory saw a rule broken
+	failure    = 1 // it did not work; one line says why
+	usage      = 2 // the call's words are off
+	ruleBroken = 3 // the laboratory saw a rule broken
 )
 
 // exit is an error with the exit code that it asks for.
@@ -33,7 +34,7 @@
 func execute(args []string) int {
 	root := newRoot()
 	root.SetArgs(args)
-	err := root.Execute()
+	err := root.ExecuteContext(context.Background())
 	if err == nil {
 		return 0
 	}
@@ -79,7 +80,7 @@
 	}
 	root.PersistentFlags().StringVar(&level, "log-level", "info", "debug, info, warn or error")
 	root.PersistentFlags().StringVar(&format, "log-format", "json", "json or console")
-	root.AddCommand(
+	root.AddCommand(newLab(),
 		&cobra.Command{Use: "run", Short: "Run a dispatcher, told by the ROUTER_ variables", Args: cobra.NoArgs, RunE: run},
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "orchiddrift", version()) }},
--- /dev/null
+++ b/lab/fleet/fleet.go
@@ -0,0 +1,334 @@
+// Package fleet starts real dispatcher processes on loopback, kills and restarts them as a scenario says, and reads what
+// they use. Every process it starts it ends.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/procfs"
+
+	"orchiddrift/lab/loop"
+	"orchiddrift/lab/record"
+	"orchiddrift/lab/scenario"
+)
+
+// Command starts a dispatcher; the ROUTER_ variables are added.
+type Command struct {
+	Path string
+	Args []string
+	Env  []string
+}
+
+// Usage is what a dispatcher's processes used.
+type Usage struct {
+	CPU         float64 `json:"cpu_s"`       // seconds, over the load
+	Peak        int     `json:"peak_bytes"`  // resident memory
+	AtRest      int     `json:"rest_bytes"`  // resident once ready
+	Descriptors int     `json:"descriptors"` // most
+	Disk        int     `json:"disk_bytes"`  // most that its folder held, in whole blocks
+}
+
+// Fleet is all dispatchers of a run.
+type Fleet struct {
+	world   *scenario.World
+	journal *record.Journal
+	clock   *loop.Clock
+	network loop.Network
+	command Command
+	dir     string
+	all     []*process
+	done    sync.WaitGroup
+}
+
+type process struct {
+	number int
+	state  string
+	lock   sync.Mutex
+	cmd    *exec.Cmd
+	asked  bool // to end
+	ended  chan struct{}
+	usage  Usage
+	cpu    float64 // of the present process, read last
+	spare  float64 // what it had used when it was ready
+	over   [2]bool // a limit was passed and noted: memory, disk
+}
+
+const (
+	readyIn = 10 * time.Second
+	endIn   = 3700 * time.Millisecond // from SIGTERM to SIGKILL, as on the platform
+	sample  = 200 * time.Millisecond
+)
+
+// Start writes each dispatcher's configuration into dir and starts them all; it returns once all are ready.
+func Start(ctx context.Context, w *scenario.World, j *record.Journal, clock *loop.Clock, network loop.Network,
+	known any, command Command, dir, state string) (*Fleet, error) {
+	f := &Fleet{world: w, journal: j, clock: clock, network: network, command: command, dir: dir}
+	for i := range w.Dispatchers.Count {
+		d := w.Dispatchers
+		p := &process{number: i, state: filepath.Join(state, fmt.Sprintf("d%d.state", i))}
+		f.all = append(f.all, p)
+		config, err := json.Marshal(map[string]any{"name": fmt.Sprintf("d%d", i), "listen": network.Dispatcher(i),
+			"discovery": network.Agent(i), "seed": fmt.Sprintf("%x", w.Seed*1000+uint64(i)), "known": known,
+			"limits":   map[string]any{"cores": d.Cores, "memory_mb": d.MemoryMB, "sockets": d.Sockets, "disk_mb": d.DiskMB},
+			"settings": settings(w)})
+		if err != nil {
+			return f, err
+		}
+		if err := errors.Join(os.WriteFile(f.config(i), config, 0o600), os.MkdirAll(p.state, 0o700)); err != nil {
+			return f, err
+		}
+	}
+	errs := make(chan error, len(f.all))
+	for _, p := range f.all {
+		go func() { errs <- f.start(ctx, p) }()
+	}
+	var err error
+	for range f.all {
+		err = errors.Join(err, <-errs)
+	}
+	return f, err
+}
+
+func (f *Fleet) config(i int) string { return filepath.Join(f.dir, fmt.Sprintf("d%d.json", i)) }
+
+// Log is where a dispatcher's log goes.
+func (f *Fleet) Log(i int) string { return filepath.Join(f.dir, fmt.Sprintf("d%d.log", i)) }
+
+// start starts a dispatcher and waits until it is ready.
+func (f *Fleet) start(ctx context.Context, p *process) error {
+	log, err := os.OpenFile(f.Log(p.number), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(f.command.Path, f.command.Args...)
+	cmd.Env = append(append(os.Environ(), f.command.Env...), "ROUTER_CONFIG="+f.config(p.number), "ROUTER_STATE="+p.state,
+		fmt.Sprintf("ROUTER_NAME=d%d", p.number), "ROUTER_LISTEN="+f.network.Dispatcher(p.number),
+		"ROUTER_DISCOVERY="+f.network.Agent(p.number))
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // Ctrl-C is ours: we end it in order
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("dispatcher %d: %w", p.number, err)
+	}
+	ended := make(chan struct{})
+	p.lock.Lock()
+	p.cmd, p.asked, p.ended, p.cpu, p.spare = cmd, false, ended, 0, 0
+	p.lock.Unlock()
+	f.life(p, record.Started, "")
+	f.done.Go(func() { f.await(p, cmd, ended) })
+	client := &http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	for begun := time.Now(); time.Since(begun) < readyIn && ctx.Err() == nil; {
+		resp, err := client.Get("http://" + f.network.Dispatcher(p.number) + "/_health")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				f.life(p, record.Ready, "")
+				f.read(p)
+				p.lock.Lock()
+				p.usage.AtRest = max(p.usage.AtRest, p.usage.Peak)
+				p.spare = p.cpu
+				p.lock.Unlock()
+				return nil
+			}
+		}
+		select {
+		case <-ended:
+			return fmt.Errorf("dispatcher %d ended before it was ready: its log is %s", p.number, f.Log(p.number))
+		case <-ctx.Done():
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return fmt.Errorf("dispatcher %d was not ready in %v: its log is %s", p.number, readyIn, f.Log(p.number))
+}
+
+// await notes how a process ended.
+func (f *Fleet) await(p *process, cmd *exec.Cmd, ended chan struct{}) {
+	err := cmd.Wait()
+	p.lock.Lock()
+	asked := p.asked
+	p.usage.CPU += (cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()).Seconds() - p.spare
+	p.cpu, p.spare = 0, 0
+	p.lock.Unlock()
+	if asked {
+		f.life(p, record.Ended, "")
+	} else {
+		f.life(p, record.Crashed, fmt.Sprint("it ended with ", cmd.ProcessState, errorText(err)))
+	}
+	close(ended)
+}
+
+func errorText(err error) string {
+	var exit *exec.ExitError
+	if err == nil || errors.As(err, &exit) {
+		return ""
+	}
+	return ": " + err.Error()
+}
+
+func (f *Fleet) life(p *process, what, text string) {
+	f.journal.Life(record.Life{Dispatcher: p.number, At: f.clock.Now(), What: what, Text: text})
+}
+
+// signal sends a signal to a dispatcher's process if it stands.
+func (f *Fleet) signal(p *process, s os.Signal, asks bool) {
+	p.lock.Lock()
+	cmd := p.cmd
+	p.asked = p.asked || asks
+	p.lock.Unlock()
+	if cmd != nil {
+		_ = cmd.Process.Signal(s) // one that has ended already is as good
+	}
+}
+
+// Play carries out the dispatchers' troubles until the run is over.
+func (f *Fleet) Play(ctx context.Context) {
+	for _, t := range f.world.Troubles {
+		for _, p := range f.all {
+			if t.OfDispatchers() && t.Kind != scenario.ListDown && t.Concerns(p.number) {
+				f.done.Go(func() { f.trouble(ctx, p, t) })
+			}
+		}
+	}
+	f.done.Go(func() {
+		for ctx.Err() == nil {
+			for _, p := range f.all {
+				f.read(p)
+			}
+			pause(ctx, sample)
+		}
+	})
+}
+
+func (f *Fleet) trouble(ctx context.Context, p *process, t scenario.Trouble) {
+	if !pause(ctx, f.clock.Until(t.At)) {
+		return
+	}
+	switch t.Kind {
+	case scenario.Stall:
+		f.signal(p, syscall.SIGSTOP, false)
+		pause(ctx, seconds(t.For))
+		f.signal(p, syscall.SIGCONT, false)
+		return
+	case scenario.Kill:
+		f.signal(p, syscall.SIGKILL, true)
+		f.life(p, record.Killed, "")
+	case scenario.Restart:
+		f.signal(p, syscall.SIGTERM, true)
+		f.life(p, record.Termed, "")
+		f.ending(p, endIn)
+	}
+	if !pause(ctx, seconds(t.Wait)) {
+		return
+	}
+	f.ending(p, endIn)
+	if err := f.start(ctx, p); err != nil && ctx.Err() == nil {
+		f.life(p, record.Crashed, err.Error())
+	}
+}
+
+// ending waits for a process that was told to end, and kills it after so long.
+func (f *Fleet) ending(p *process, within time.Duration) {
+	p.lock.Lock()
+	ended := p.ended
+	p.lock.Unlock()
+	if ended == nil {
+		return
+	}
+	select {
+	case <-ended:
+	case <-time.After(within):
+		f.signal(p, syscall.SIGKILL, true)
+		<-ended
+	}
+}
+
+// Stop tells all to end, and ends those that do not.
+func (f *Fleet) Stop() {
+	for _, p := range f.all {
+		f.signal(p, syscall.SIGCONT, false)
+		f.signal(p, syscall.SIGTERM, true)
+	}
+	for _, p := range f.all {
+		f.ending(p, endIn)
+	}
+	f.done.Wait()
+}
+
+// read takes a sample of what a dispatcher uses, and notes where that is over its limits.
+func (f *Fleet) read(p *process) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	u := &p.usage
+	if proc, err := procfs.NewProc(p.cmd.Process.Pid); err == nil {
+		if stat, err := proc.Stat(); err == nil {
+			p.cpu = stat.CPUTime()
+			u.Peak = max(u.Peak, stat.ResidentMemory())
+		}
+		if n, err := proc.FileDescriptorsLen(); err == nil {
+			u.Descriptors = max(u.Descriptors, n)
+		}
+	}
+	held := 0
+	files, _ := os.ReadDir(p.state) // one that cannot be read holds nothing
+	for _, file := range files {
+		if info, err := file.Info(); err == nil {
+			const block = 512
+			held += int(info.Size()+block-1) / block * block
+		}
+	}
+	u.Disk = max(u.Disk, held)
+	for i, x := range []struct {
+		what string
+		used int
+		most float64
+	}{{"memory", u.Peak, f.world.Dispatchers.MemoryMB}, {"disk", u.Disk, f.world.Dispatchers.DiskMB}} {
+		if float64(x.used) > x.most*1e6 && !p.over[i] {
+			p.over[i] = true
+			f.life(p, record.OverUse, fmt.Sprintf("%s: %d bytes, where %.0f MB are its limit", x.what, x.used, x.most))
+		}
+	}
+}
+
+// Usage tells what each dispatcher used since the load began.
+func (f *Fleet) Usage() []Usage {
+	var list []Usage
+	for _, p := range f.all {
+		p.lock.Lock()
+		u := p.usage
+		u.CPU += p.cpu - p.spare
+		list = append(list, u)
+		p.lock.Unlock()
+	}
+	return list
+}
+
+// pause waits; it tells whether the run still goes on.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/lab/lab.go
@@ -0,0 +1,213 @@
+// Package lab plays scenarios: it surrounds real dispatcher processes with partners, the platform's agent and clients, all
+// on loopback, and judges and counts what happened. It imports the product; the product never imports it.
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"time"
+
+	"orchiddrift/lab/agent"
+	"orchiddrift/lab/fleet"
+	"orchiddrift/lab/load"
+	"orchiddrift/lab/loop"
+	"orchiddrift/lab/partner"
+	"orchiddrift/lab/record"
+	"orchiddrift/lab/report"
+	"orchiddrift/lab/rules"
+	"orchiddrift/lab/scenario"
+)
+
+// Options say how a scenario is played.
+type Options struct {
+	Command  fleet.Command  // starts a dispatcher
+	Straight bool           // hand in straight to the partners, with no dispatcher
+	State    string         // where the dispatchers' lasting folders are made; "" for the temporary folder
+	Keep     string         // a folder for configurations, logs and the journal; "" to throw them away
+	Network  loop.Network   // 0 to find a free one
+	Progress func(Progress) // called once a second
+}
+
+// Progress is how far a run is.
+type Progress struct {
+	At, Length      float64
+	Handed, Planned int
+	Calls, Notices  int
+	Waiting         bool // the load is over, and what was taken on is waited for
+}
+
+const (
+	lookEvery = 100 * time.Millisecond
+	tellEvery = time.Second
+	goOn      = 0.4 // after the last moment at which a rule could still be judged
+)
+
+// Run plays a scenario. When ctx ends early the result is of what was played, and says so; the journal comes too.
+func Run(ctx context.Context, s *scenario.Scenario, o Options) (*report.Result, *record.Journal, error) {
+	w := scenario.NewWorld(s)
+	j, clock := &record.Journal{}, &loop.Clock{}
+	dir, err := folder(o.Keep)
+	if err != nil {
+		return nil, nil, err
+	}
+	if o.Keep == "" {
+		defer os.RemoveAll(dir)
+	}
+	state, err := os.MkdirTemp(o.State, "orchiddrift-state-")
+	if err != nil {
+		return nil, nil, fmt.Errorf("--state: %w", err)
+	}
+	defer os.RemoveAll(state)
+	network := o.Network
+	if network == 0 {
+		if network, err = loop.Find(); err != nil {
+			return nil, nil, err
+		}
+	}
+	partners, err := partner.Start(w, j, clock, network)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer partners.Close()
+	agents, err := agent.Start(w, j, clock, network, partners.Addr)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer agents.Close()
+
+	clients := &load.Load{World: w, Journal: j, Clock: clock, Arrivals: w.Arrivals(), Front: load.NewSpread(w, network, clock)}
+	var dispatchers *fleet.Fleet
+	if o.Straight {
+		clients.Front = &load.Straight{World: w, Addr: partners.Addr}
+	} else {
+		dispatchers, err = fleet.Start(ctx, w, j, clock, network, agents.Known(), o.Command, dir, state)
+		if err != nil {
+			dispatchers.Stop()
+			return nil, nil, err
+		}
+	}
+	playing, played := context.WithCancel(ctx)
+	defer played()
+	clock.Begin()
+	if dispatchers != nil {
+		dispatchers.Play(playing)
+	}
+	go busyDisk(playing, w, clock, state)
+	loaded := make(chan struct{})
+	go func() {
+		clients.Run(playing)
+		close(loaded)
+	}()
+	await(ctx, w, j, clock, clients, loaded, o)
+	ended := clock.Now()
+	played()
+	<-loaded
+	var usage []fleet.Usage
+	if dispatchers != nil {
+		usage = dispatchers.Usage()
+		dispatchers.Stop()
+	}
+
+	var result *report.Result
+	j.Change(func() {
+		result = report.New(report.Run{World: w, Journal: j, Ended: ended, Handed: clients.Handed(), Planned: clients.Planned(),
+			Lateness: clients.Lateness(), Usage: usage})
+		if !o.Straight {
+			result.Violations = rules.Check(w, j, ended)
+		}
+	})
+	result.Straight, result.Interrupted = o.Straight, ctx.Err() != nil
+	if late := result.Lateness.P99; s.Load.Closed == 0 && late > s.Load.LateBound {
+		result.Void = fmt.Sprintf("the generator itself was late by %.0f ms at p99, of %.0f ms allowed: lower load.rate or free cores",
+			late*1e3, s.Load.LateBound*1e3)
+	}
+	if o.Keep != "" {
+		err = keep(j, filepath.Join(dir, "journal.jsonl"))
+	}
+	return result, j, err
+}
+
+// await returns when the load is over and so is all that was taken on, or when nothing of it can be judged any more.
+func await(ctx context.Context, w *scenario.World, j *record.Journal, clock *loop.Clock, clients *load.Load,
+	loaded <-chan struct{}, o Options) {
+	longest := 0.0
+	for _, t := range w.Topics {
+		longest = max(longest, t.TTL)
+	}
+	over := false
+	for told := time.Now(); ctx.Err() == nil; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(lookEvery):
+		}
+		select {
+		case <-loaded:
+			over = true
+		default:
+		}
+		if over && (o.Straight || clock.Now() > w.Length+longest+goOn || report.Owed(j) == 0 && clock.Now() >= w.Length) {
+			return
+		}
+		if o.Progress != nil && time.Since(told) >= tellEvery {
+			told = time.Now()
+			p := Progress{At: clock.Now(), Length: w.Length, Handed: clients.Handed(), Planned: clients.Planned(), Waiting: over}
+			j.Change(func() { p.Calls, p.Notices = len(j.Calls), len(j.Notices) })
+			o.Progress(p)
+		}
+	}
+}
+
+func folder(keep string) (string, error) {
+	if keep == "" {
+		return os.MkdirTemp("", "orchiddrift-lab-")
+	}
+	if err := os.MkdirAll(keep, 0o755); err != nil {
+		return "", fmt.Errorf("--keep: %w", err)
+	}
+	return keep, nil
+}
+
+func keep(j *record.Journal, path string) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(j.Write(f), f.Close())
+}
+
+// busyDisk writes to the disk of the dispatchers' folders, and syncs, while a trouble says so.
+func busyDisk(ctx context.Context, w *scenario.World, clock *loop.Clock, dir string) {
+	const size, block = 32 << 20, 1 << 20
+	noise := make([]byte, block)
+	chance := rand.New(rand.NewPCG(w.Seed, 0))
+	for i := range noise {
+		noise[i] = byte(chance.Uint32())
+	}
+	for _, t := range w.Troubles {
+		if t.Kind != scenario.BusyDisk {
+			continue
+		}
+		select {
+		case <-time.After(clock.Until(t.At)):
+		case <-ctx.Done():
+			return
+		}
+		for ctx.Err() == nil && clock.Now() < t.End() {
+			f, err := os.CreateTemp(dir, "busy-")
+			if err != nil {
+				return
+			}
+			for n := 0; n < size && err == nil; n += block {
+				_, err = f.Write(noise)
+			}
+			_ = f.Sync()
+			_ = os.Remove(f.Name())
+			_ = f.Close() // the blocks of a file without a name go here
+		}
+	}
+}
--- /dev/null
+++ b/lab/load/load.go
@@ -0,0 +1,285 @@
+// Package load hands notifications in as clients do: on an open loop, whose arrivals wait for nobody, or on a closed one
+// for measuring. Each arrival has its planned moment, and times are counted from there.
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/valyala/fasthttp"
+
+	"orchiddrift/lab/loop"
+	"orchiddrift/lab/record"
+	"orchiddrift/lab/scenario"
+)
+
+const (
+	answerIn = 400 * time.Millisecond // a client waits so long for its answer
+	idleFor  = 1500 * time.Millisecond
+)
+
+// Target is where a hand-in goes.
+type Target struct {
+	Dispatcher int
+	Addr       string
+	Path       string
+}
+
+// Load is the clients of a run.
+type Load struct {
+	World    *scenario.World
+	Journal  *record.Journal
+	Clock    *loop.Clock
+	Arrivals []scenario.Arrival
+	Front    Front
+	lock     sync.Mutex
+	clients  map[string]*fasthttp.HostClient
+	keys     map[string][]func() // of ordered keys: what waits for its turn
+	late     *hdrhistogram.Histogram
+	handed   atomic.Int64
+	body     []byte
+}
+
+// Front says where a hand-in goes.
+type Front interface {
+	// Choose picks for a client, key and destination, at a try counted from 0.
+	Choose(client int, key string, dest, try int) (Target, bool)
+	// Dead tells that nobody took a connection there, Alive that an answer came.
+	Dead(Target)
+	Alive(Target)
+}
+
+// Lateness is by how much the generator itself was behind its plan.
+type Lateness struct {
+	P50  float64 `json:"p50"`
+	P99  float64 `json:"p99"`
+	Most float64 `json:"max"`
+}
+
+// Planned is how many notifications the plan holds; Handed how many came to be handed in.
+func (l *Load) Planned() int { return len(l.Arrivals) }
+
+// Handed is how many notifications were handed in so far.
+func (l *Load) Handed() int { return int(l.handed.Load()) }
+
+// Run hands in until the plan or ctx ends, and returns once the last answer is there.
+func (l *Load) Run(ctx context.Context) {
+	l.clients, l.keys = map[string]*fasthttp.HostClient{}, map[string][]func(){}
+	const most, digits = 60_000_000, 3 // microseconds
+	l.late = hdrhistogram.New(1, most, digits)
+	l.body = make([]byte, l.World.Load.Body)
+	for i := range l.body {
+		l.body[i] = byte('a' + i%26)
+	}
+	var under sync.WaitGroup
+	if l.World.Load.Closed > 0 {
+		l.closed(ctx, &under)
+	} else {
+		l.open(ctx, &under)
+	}
+	under.Wait()
+}
+
+// open starts each arrival at its moment.
+func (l *Load) open(ctx context.Context, under *sync.WaitGroup) {
+	for i, a := range l.Arrivals {
+		if wait := l.Clock.Until(a.At); wait > 0 {
+			select {
+			case <-time.After(wait):
+			case <-ctx.Done():
+			}
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		_ = l.late.RecordValue(max(1, int64((l.Clock.Now()-a.At)*1e6))) // one past the scale is not kept, and shows as p99
+		l.handed.Add(1)
+		under.Add(1)
+		l.inTurn(a, func() {
+			defer under.Done()
+			l.handIn(ctx, i, a)
+		})
+	}
+}
+
+// inTurn starts a hand-in, after those of its key that came before.
+func (l *Load) inTurn(a scenario.Arrival, work func()) {
+	key := keyOf(a)
+	if key == "" {
+		go work()
+		return
+	}
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	waiting, busy := l.keys[key]
+	if busy {
+		l.keys[key] = append(waiting, work)
+		return
+	}
+	l.keys[key] = nil
+	go func() {
+		for work != nil {
+			work()
+			l.lock.Lock()
+			if waiting := l.keys[key]; len(waiting) > 0 {
+				work, l.keys[key] = waiting[0], waiting[1:]
+			} else {
+				delete(l.keys, key)
+				work = nil
+			}
+			l.lock.Unlock()
+		}
+	}()
+}
+
+// keyOf is the key of an ordered notification.
+func keyOf(a scenario.Arrival) string {
+	if a.Key == 0 {
+		return ""
+	}
+	return fmt.Sprintf("k%d-%d", a.Dest, a.Key)
+}
+
+// closed keeps so many hand-ins going, one after another on each connection.
+func (l *Load) closed(ctx context.Context, under *sync.WaitGroup) {
+	var next atomic.Int64
+	for range l.World.Load.Closed {
+		under.Go(func() {
+			for ctx.Err() == nil && l.Clock.Now() < l.World.Length {
+				i := int(next.Add(1)) - 1
+				a := l.Arrivals[i%len(l.Arrivals)]
+				a.At = l.Clock.Now()
+				l.handed.Add(1)
+				l.handIn(ctx, i, a)
+			}
+		})
+	}
+}
+
+// handIn hands one notification in, and again as its client may.
+func (l *Load) handIn(ctx context.Context, origin int, a scenario.Arrival) {
+	topic, planned := l.World.Topics[a.Topic], a.At
+	until, again := planned+topic.TTL, ""
+	for try := 0; ctx.Err() == nil && l.Clock.Now() < until; try++ {
+		target, ok := l.Front.Choose(a.Client, keyOf(a), a.Dest, try)
+		if !ok {
+			pause(ctx, l.World.Load.RetryWait)
+			continue
+		}
+		h := &record.HandIn{ID: fmt.Sprintf("%d-%d-%d", a.Dest, origin, try), Origin: origin, Try: try, Topic: topic.Name,
+			Tenant: l.World.Tenants[a.Tenant].Name, Dest: a.Dest, Key: keyOf(a), Dispatcher: target.Dispatcher,
+			Planned: planned, Sent: l.Clock.Now(), Until: until}
+		l.Journal.HandIn(h)
+		status, wait, why := l.post(h, topic, target, again)
+		l.Journal.Change(func() {
+			h.Status, h.RetryAfter, h.Why, h.Answered = status, wait, why, l.Clock.Now()
+		})
+		if status > 0 {
+			l.Front.Alive(target)
+		}
+		switch {
+		case why == refused:
+			l.Front.Dead(target)
+			pause(ctx, 0.01)
+		case why != "" && topic.Repeat == scenario.OnceOnly:
+			return // somebody may have it, and it must not run twice
+		case why != "":
+			again = "again"
+		case status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests:
+			if try >= l.World.Load.Retries {
+				return
+			}
+			if again = "1"; wait == 0 {
+				wait = l.World.Load.RetryWait
+			}
+			pause(ctx, wait)
+		default:
+			return
+		}
+	}
+}
+
+// Why a hand-in got no answer.
+const (
+	refused = "refused" // no connection
+	closed  = "closed"  // the connection ended
+	late    = "late"    // none in the time that a client waits
+)
+
+// post sends one hand-in and tells its answer, or why there is none.
+func (l *Load) post(h *record.HandIn, topic scenario.Topic, to Target, again string) (int, float64, string) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + to.Addr + to.Path)
+	req.Header.SetNoDefaultContentType(true)
+	req.Header.Set("X-Call-Id", h.ID)
+	req.Header.Set("X-Call-Class", h.Topic)
+	req.Header.Set("X-Caller", h.Tenant)
+	req.Header.Set("X-Budget", strconv.Itoa(int((h.Until-h.Sent)*ms))+"m")
+	req.Header.Set("X-Addressing", "dest="+strconv.Itoa(h.Dest))
+	if h.Key != "" {
+		req.Header.SetCookie("about", h.Key)
+	}
+	if topic.Repeat == scenario.Collapsible {
+		req.Header.Set("Idempotency-Key", fmt.Sprintf("m%d", h.Origin))
+	}
+	if again != "" {
+		req.Header.Set("X-Again", again)
+	}
+	req.SetBodyRaw(l.body)
+	client := l.client(to.Addr)
+	deadline := time.Now().Add(answerIn)
+	err := client.DoDeadline(req, resp, deadline)
+	if errors.Is(err, fasthttp.ErrConnectionClosed) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		err = client.DoDeadline(req, resp, deadline) // it was closed between two requests: once more on another
+	}
+	switch {
+	case err == nil:
+		wait, _ := strconv.ParseFloat(string(resp.Header.Peek("Retry-After")), 64) // none is 0
+		return resp.StatusCode(), wait, ""
+	case errors.Is(err, fasthttp.ErrTimeout) || errors.Is(err, fasthttp.ErrDialTimeout) || time.Now().After(deadline):
+		return 0, 0, late
+	case isRefused(err):
+		return 0, 0, refused
+	}
+	return 0, 0, closed
+}
+
+const ms = 1000
+
+// client is the connections of all client processes to an address.
+func (l *Load) client(addr string) *fasthttp.HostClient {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	c := l.clients[addr]
+	if c == nil {
+		c = &fasthttp.HostClient{Addr: addr, MaxConns: 4096, MaxIdleConnDuration: idleFor, MaxIdemponentCallAttempts: 1,
+			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
+		l.clients[addr] = c
+	}
+	return c
+}
+
+// Lateness tells by how much the generator was behind.
+func (l *Load) Lateness() Lateness {
+	if l.late == nil {
+		return Lateness{}
+	}
+	at := func(q float64) float64 { return float64(l.late.ValueAtQuantile(q)) / 1e6 }
+	return Lateness{P50: at(50), P99: at(99), Most: float64(l.late.Max()) / 1e6}
+}
+
+func pause(ctx context.Context, s float64) {
+	select {
+	case <-time.After(time.Duration(s * float64(time.Second))):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/lab/loop/loop.go
@@ -0,0 +1,66 @@
+// Package loop gives the parts of a run their loopback addresses and their clock.
+package loop
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+)
+
+// Network is a part of the loopback range, 127.N.0.0/16, that one run has to itself. Its ports lie below those that
+// outgoing connections get, so that a listener which closes for a while finds its address free.
+type Network int
+
+const (
+	firstNetwork = 16
+	networks     = 224
+	tries        = 8
+)
+
+// Find returns a network in which nobody listens yet. Runs side by side get different ones.
+func Find() (Network, error) {
+	for i := range tries {
+		n := Network(firstNetwork + (os.Getpid()*7+i)%networks)
+		ln, err := net.Listen("tcp", n.Agent(0))
+		if err == nil {
+			return n, ln.Close()
+		}
+	}
+	return 0, fmt.Errorf("no free loopback network among %d: end the runs that still go on", tries)
+}
+
+// Dispatcher is the address of a dispatcher, counted from 0.
+func (n Network) Dispatcher(i int) string { return fmt.Sprintf("127.%d.0.%d:8081", n, i+1) }
+
+// Agent is the address of a dispatcher's agent.
+func (n Network) Agent(i int) string { return fmt.Sprintf("127.%d.1.%d:8500", n, i+1) }
+
+// Endpoint is the address of a listener of endpoints.
+func (n Network) Endpoint(listener int) string {
+	const row = 250
+	return fmt.Sprintf("127.%d.%d.%d:9000", n, 2+listener/row, 1+listener%row)
+}
+
+// Clock tells the seconds since a run began. Before that it stands at -1.
+type Clock struct{ start atomic.Pointer[time.Time] }
+
+// Begin sets the clock going.
+func (c *Clock) Begin() {
+	now := time.Now()
+	c.start.Store(&now)
+}
+
+// Now is the time since the beginning.
+func (c *Clock) Now() float64 {
+	if start := c.start.Load(); start != nil {
+		return time.Since(*start).Seconds()
+	}
+	return -1
+}
+
+// Until is how long it is until a moment; it may be past.
+func (c *Clock) Until(at float64) time.Duration {
+	return time.Duration((at - c.Now()) * float64(time.Second))
+}
--- /dev/null
+++ b/lab/partner/conn.go
@@ -0,0 +1,287 @@
+package partner
+
+import (
+	"bufio"
+	"encoding/json"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"orchiddrift/lab/behaviour"
+	"orchiddrift/lab/record"
+)
+
+const mostBody = 1 << 20 // of a call
+
+// conn is a connection of a dispatcher. One goroutine reads, so that its end is seen while a call is served by the other.
+type conn struct {
+	*net.TCPConn
+	door   *door
+	number int
+	beyond bool // the endpoint holds too many
+	calls  chan *inbound
+	gone   chan struct{} // the other side ended it, or it broke
+	shut   chan struct{} // we ended it
+	once   sync.Once
+}
+
+// inbound is a call as it came.
+type inbound struct {
+	record *record.Call
+	dest   int
+	odd    bool // it cannot be read
+}
+
+func newConn(d *door, c *net.TCPConn, number int) *conn {
+	return &conn{TCPConn: c, door: d, number: number, calls: make(chan *inbound, 1), gone: make(chan struct{}),
+		shut: make(chan struct{})}
+}
+
+// end closes the connection.
+func (c *conn) end() {
+	c.once.Do(func() {
+		close(c.shut)
+		_ = c.Close()
+		c.door.lock.Lock()
+		delete(c.door.open, c)
+		c.door.lock.Unlock()
+	})
+}
+
+// reset ends it as a process that dies does.
+func (c *conn) reset() {
+	_ = c.SetLinger(0)
+	c.end()
+}
+
+// read reads calls until the connection ends.
+func (c *conn) read() {
+	defer close(c.gone)
+	in, clock := bufio.NewReaderSize(c, 4<<10), c.door.all.clock
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	for n := 0; ; n++ {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		first := clock.Now()
+		if err := req.ReadLimitBody(in, mostBody); err != nil {
+			return // it never came whole
+		}
+		x := c.inbound(req)
+		x.record.First, x.record.Last, x.record.Reused = first, clock.Now(), n > 0
+		select {
+		case c.calls <- x:
+		case <-c.shut:
+			return
+		}
+	}
+}
+
+// inbound reads what a call is about.
+func (c *conn) inbound(req *fasthttp.Request) *inbound {
+	x := &inbound{record: &record.Call{Conn: c.number}, dest: -1}
+	switch path := string(req.URI().Path()); {
+	case path == "/hook":
+		x.record.IDs = []string{string(req.Header.Peek("X-Call-Id"))}
+	case path == "/hook/batch":
+		var list []struct{ ID string }
+		x.odd = json.Unmarshal(req.Body(), &list) != nil || len(list) == 0
+		for _, l := range list {
+			x.record.IDs = append(x.record.IDs, l.ID)
+		}
+	default:
+		x.odd = true
+	}
+	if len(x.record.IDs) > 0 {
+		x.dest = DestOf(x.record.IDs[0])
+	}
+	if only := c.door.only; only != nil {
+		x.dest = only.Dest
+	}
+	e, here := c.door.behind[x.dest]
+	x.odd = x.odd || !here
+	x.record.Endpoint, x.record.Dest = e.ID, x.dest
+	return x
+}
+
+// DestOf reads the destination out of an id that the laboratory made, -1 where there is none.
+func DestOf(id string) int {
+	text, _, _ := strings.Cut(id, "-")
+	dest, err := strconv.Atoi(text)
+	if err != nil {
+		return -1
+	}
+	return dest
+}
+
+// serve answers calls, one after another, until the connection ends.
+func (c *conn) serve() {
+	defer c.end()
+	idle := time.NewTimer(seconds(c.door.kind().Idle))
+	for {
+		var x *inbound
+		select {
+		case x = <-c.calls:
+		case <-idle.C:
+			return
+		case <-c.shut:
+			return
+		case <-c.gone:
+			select {
+			case x = <-c.calls: // it came, and its caller left at once
+			default:
+				return
+			}
+		}
+		if !c.answer(x) {
+			return
+		}
+		idle.Reset(seconds(c.door.kind().Idle))
+	}
+}
+
+// answer does with a call what its partner's behaviour says, and tells whether the connection can go on.
+func (c *conn) answer(x *inbound) bool {
+	all, r := c.door.all, x.record
+	if x.odd {
+		r.Status, r.End, r.Why = fasthttp.StatusBadRequest, r.Last, "unreadable"
+		all.journal.Call(r)
+		return c.write(r, behaviour.Fate{Status: r.Status}, nil)
+	}
+	s, e := all.systems[x.dest], c.door.behind[x.dest]
+	s.Lock()
+	before := s.calls[r.IDs[0]]
+	for _, id := range r.IDs {
+		s.calls[id]++
+	}
+	var fate behaviour.Fate
+	if c.beyond {
+		fate = behaviour.Fate{Status: fasthttp.StatusServiceUnavailable, Why: "too many connections",
+			States: make([]record.State, len(r.IDs)), Ran: make([]bool, len(r.IDs))}
+		for i := range fate.States {
+			fate.States[i] = record.Busy
+		}
+	} else {
+		fate = s.Arrive(r.Last, e.Index, behaviour.Call{IDs: r.IDs, Reused: r.Reused, Before: before})
+	}
+	s.Unlock()
+	r.Ran, r.Why, r.States = fate.Ran, fate.Why, make([]record.State, len(r.IDs))
+	all.journal.Call(r)
+	if !r.Reused {
+		fate.After += c.door.kind().Handshake
+	}
+	if fate.Way == behaviour.Silent {
+		c.rest(r, nil)
+		return false
+	}
+	timer := time.NewTimer(seconds(fate.After))
+	defer timer.Stop()
+	if !c.rest(r, timer.C) {
+		return false
+	}
+	switch fate.Way {
+	case behaviour.Break:
+		all.journal.Change(func() { r.End = all.clock.Now() })
+		c.reset()
+		return false
+	case behaviour.CutOff, behaviour.Spoilt:
+		all.journal.Change(func() {
+			r.End = all.clock.Now()
+			for i := range r.States {
+				r.States[i] = record.Odd
+			}
+		})
+		text := "HTTP/1.1 2\x00\x1f\xff noise that says nothing\r\n"
+		if fate.Way == behaviour.CutOff {
+			text = "HTTP/1.1 500 Broken\r\nContent-Length: 400\r\n\r\nhalf of"
+		}
+		_, err := c.Write([]byte(text))
+		if err == nil && fate.Way == behaviour.Spoilt {
+			<-c.either()
+		}
+		return false
+	}
+	return c.write(r, fate, func() { r.Status, r.Wait, r.States = fate.Status, fate.Wait, fate.States }) && !c.beyond
+}
+
+// rest waits for the moment of an answer. It tells whether the connection still stands, and else notes its end.
+func (c *conn) rest(r *record.Call, until <-chan time.Time) bool {
+	all := c.door.all
+	select {
+	case <-until:
+		select {
+		case <-c.gone:
+		default:
+			return true
+		}
+	case <-c.gone:
+	case <-c.shut:
+	}
+	all.journal.Change(func() {
+		r.End = all.clock.Now()
+		select {
+		case <-c.shut:
+		default:
+			r.Left = true
+		}
+	})
+	return false
+}
+
+// either is closed once either side has ended the connection.
+func (c *conn) either() <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		select {
+		case <-c.gone:
+		case <-c.shut:
+		}
+	}()
+	return ended
+}
+
+// write writes an answer; note is carried out as it goes out.
+func (c *conn) write(r *record.Call, fate behaviour.Fate, note func()) bool {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	resp.Header.SetNoDefaultContentType(true)
+	resp.SetStatusCode(fate.Status)
+	if fate.Wait > 0 {
+		resp.Header.Set("Retry-After", strconv.FormatFloat(fate.Wait, 'f', 3, 64))
+	}
+	if fate.Report {
+		resp.Header.Set("X-Load-Report", "TEXT x0="+strconv.FormatFloat(fate.Share, 'f', 4, 64)+
+			", x1="+strconv.FormatFloat(fate.Limit, 'f', 3, 64))
+	}
+	if len(r.IDs) > 1 && fate.Status == fasthttp.StatusOK {
+		type line struct {
+			ID    string       `json:"id"`
+			State record.State `json:"state"`
+		}
+		lines := make([]line, len(r.IDs))
+		for i, id := range r.IDs {
+			lines[i] = line{id, fate.States[i]}
+		}
+		body, _ := json.Marshal(lines) // strings always marshal
+		resp.SetBodyRaw(body)
+	}
+	if c.beyond {
+		resp.SetConnectionClose()
+	}
+	if note != nil {
+		c.door.all.journal.Change(func() {
+			r.End = c.door.all.clock.Now()
+			note()
+		})
+	}
+	out := bufio.NewWriterSize(c, 512)
+	return resp.Write(out) == nil && out.Flush() == nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/lab/report/html.go
@@ -0,0 +1,144 @@
+package report
+
+import (
+	"bytes"
+	_ "embed"
+	"fmt"
+	"html/template"
+	"image/color"
+	"io"
+	"math"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+//go:embed report.html
+var page string
+
+var pageTemplate = template.Must(template.New("report").Parse(page))
+
+// picture is one drawing in the report.
+type picture struct {
+	Title string
+	SVG   template.HTML
+}
+
+// HTML writes a result as one page that needs no other file.
+func (r *Result) HTML(to io.Writer) error {
+	var pictures []picture
+	s := r.Series
+	add := func(title, unit string, log bool, lines ...line) error {
+		svg, err := r.draw(unit, log, lines)
+		if err == nil {
+			pictures = append(pictures, picture{title, template.HTML(svg)}) // drawn here, from numbers
+		}
+		return err
+	}
+	err := add("Notifications by time", "a second", false, line{"offered", s.points(s.Offered)}, line{"delivered", s.points(s.Delivered)},
+		line{"of them late", s.points(s.Late)}, line{"refused", s.points(s.Refused)}, line{"ended by a notice", s.points(s.Ended)})
+	if err == nil {
+		err = add("Owed, and pushes out", "notifications", false, line{"owed", s.points(s.Owed)}, line{"pushes out", s.points(s.Out)})
+	}
+	if err == nil {
+		var curves []line
+		for _, t := range r.Topics {
+			var xy plotter.XYs
+			for _, c := range t.Curve {
+				xy = append(xy, plotter.XY{X: math.Max(c.S, 1e-5), Y: c.Share})
+			}
+			curves = append(curves, line{t.Name, xy})
+		}
+		err = add("Latency from the planned moment, by topic type", "share delivered", true, curves...)
+	}
+	for _, p := range r.Partners {
+		if err == nil {
+			seconds := Series{Step: 1}
+			err = add(fmt.Sprintf("Destination %d (%s): %d calls, %d turned away", p.Dest, p.Kind, p.Calls, p.Full), "calls a second", false,
+				line{"calls", seconds.points(p.PerSecond)}, line{"what it can take", seconds.points(p.Capacity)})
+		}
+	}
+	if err != nil {
+		return err
+	}
+	var table bytes.Buffer
+	r.Table(&table)
+	return pageTemplate.Execute(to, map[string]any{"Title": r.Title, "Table": table.String(), "Pictures": pictures,
+		"Bands": r.Bands, "Broken": len(r.Violations)})
+}
+
+// line is one curve.
+type line struct {
+	name string
+	xy   plotter.XYs
+}
+
+func (s Series) points(list []float64) plotter.XYs {
+	xy := make(plotter.XYs, len(list))
+	for i, v := range list {
+		xy[i] = plotter.XY{X: (float64(i) + 0.5) * s.Step, Y: v}
+	}
+	return xy
+}
+
+// Colours that people who see few of them can tell apart.
+var colours = []color.Color{color.RGBA{0, 114, 178, 255}, color.RGBA{213, 94, 0, 255}, color.RGBA{0, 158, 115, 255},
+	color.RGBA{204, 121, 167, 255}, color.RGBA{86, 80, 70, 255}, color.RGBA{230, 159, 0, 255}}
+
+const (
+	width  = 24 * vg.Centimeter
+	height = 7 * vg.Centimeter
+)
+
+// draw makes an SVG: curves over time with the troubles as bands behind them, or over a logarithm of seconds.
+func (r *Result) draw(unit string, log bool, lines []line) (string, error) {
+	p := plot.New()
+	p.Y.Label.Text, p.X.Label.Text = unit, "seconds"
+	p.Y.Min = 0
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+	top := 0.0
+	for _, l := range lines {
+		for _, xy := range l.xy {
+			top = max(top, xy.Y)
+		}
+	}
+	if log {
+		p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+		p.Legend.Left = true
+	} else {
+		p.X.Min, p.X.Max = 0, r.Ended
+		for _, b := range r.Bands {
+			band, err := plotter.NewPolygon(plotter.XYs{{X: b.From, Y: 0}, {X: min(b.To, r.Ended), Y: 0}, {X: min(b.To, r.Ended), Y: top}, {X: b.From, Y: top}})
+			if err != nil {
+				return "", err
+			}
+			band.Color, band.LineStyle.Width = color.RGBA{245, 228, 200, 255}, 0
+			p.Add(band)
+		}
+	}
+	for i, l := range lines {
+		if len(l.xy) == 0 {
+			continue
+		}
+		curve, err := plotter.NewLine(l.xy)
+		if err != nil {
+			return "", err
+		}
+		curve.Color, curve.Width = colours[i%len(colours)], vg.Points(1.5)
+		p.Add(curve)
+		p.Legend.Add(l.name, curve)
+	}
+	p.Y.Max = max(p.Y.Max, top*1.05, 1e-9)
+	canvas := vgsvg.New(width, height)
+	p.Draw(draw.New(canvas))
+	var b bytes.Buffer
+	if _, err := canvas.WriteTo(&b); err != nil {
+		return "", err
+	}
+	_, svg, _ := bytes.Cut(b.Bytes(), []byte("<svg"))
+	return "<svg" + string(svg), nil
+}
--- /dev/null
+++ b/lab/rules/flow.go
@@ -0,0 +1,142 @@
+package rules
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+
+	"orchiddrift/lab/behaviour"
+	"orchiddrift/lab/record"
+	"orchiddrift/lab/scenario"
+)
+
+// pushed judges the returns of destinations: one is pushed over where two thirds of what did it came from dispatchers
+// that had seen it fail.
+func (c *check) pushed() {
+	for _, p := range c.world.Partners {
+		var back []scenario.Fault
+		for _, f := range c.world.Faults {
+			if f.Outage() && !f.Warm && f.Endpoint == 0 && f.Dests[p.Dest] {
+				back = append(back, f)
+			}
+		}
+		for _, f := range back {
+			c.returned(p, f)
+		}
+	}
+}
+
+func (c *check) returned(p scenario.Partner, f scenario.Fault) {
+	strain := behaviour.Strain{Multiple: c.world.Returns.Multiple, Span: c.world.Returns.Fall, Capacity: func(now float64) float64 {
+		return p.Rate * c.world.Warmth(p.Dest, now)
+	}}
+	var by []int // the dispatchers of the calls since its return
+	for _, call := range c.journal.Calls {
+		if call.Dest != p.Dest || call.Last < f.End() || call.Last > f.End()+c.world.Returns.ColdSpan || c.world.Down(p.Dest, call.Last) {
+			continue
+		}
+		d := c.dispatcher(call)
+		by = append(by, d)
+		if !strain.Add(call.Last) {
+			continue
+		}
+		n, seen := len(strain.Calls()), 0
+		for _, d := range by[len(by)-n:] {
+			if c.saw(d, p.Dest, f) {
+				seen++
+			}
+		}
+		if float64(seen) >= seenShare*float64(n) {
+			c.broken(Violation{Rule: Pushed, At: call.Last, Dispatcher: d, ID: call.IDs[0], Endpoint: call.Endpoint, Evidence: fmt.Sprintf(
+				"back since %.3f, it can take %.2f calls/s and got %d in %.1f s, %d of them from dispatchers that had seen the outage",
+				f.End(), p.Rate*c.world.Warmth(p.Dest, call.Last), n, c.world.Returns.Fall, seen)})
+			return // it has fallen
+		}
+	}
+}
+
+// saw tells whether a dispatcher had seen a call fail, or be refused, in an outage. Refused connections reach no
+// journal: there, one that had something to push counts as having tried.
+func (c *check) saw(d, dest int, f scenario.Fault) bool {
+	if f.Kind == scenario.Refuse {
+		return slices.ContainsFunc(c.journal.HandIns, func(h *record.HandIn) bool {
+			return h.Dispatcher == d && h.Dest == dest && h.Taken() && h.Answered < f.End()-letPass && h.Until > f.At
+		})
+	}
+	return slices.ContainsFunc(c.journal.Calls, func(call *record.Call) bool {
+		return call.Dest == dest && call.Last >= f.At && call.Last < f.End() && c.dispatcher(call) == d &&
+			(len(call.States) == 0 || call.States[0] != record.Done)
+	})
+}
+
+// order judges ordered topic types: by dispatcher and key, one at a time, as they were taken.
+func (c *check) order() {
+	type line struct {
+		dispatcher int
+		key        string
+	}
+	lines := map[line][]*record.HandIn{}
+	for _, h := range c.journal.HandIns {
+		if h.Key != "" && h.Taken() && c.topics[h.Topic].Ordered {
+			l := line{h.Dispatcher, h.Key}
+			lines[l] = append(lines[l], h)
+		}
+	}
+	for _, list := range lines {
+		slices.SortStableFunc(list, func(a, b *record.HandIn) int { return cmp.Compare(a.Sent, b.Sent) })
+		free, last := math.Inf(-1), "" // when all that came before was over and out of the way, and which was the last of it
+		why := ""
+		for _, h := range list {
+			for _, p := range c.pushes[h.ID] {
+				if p.First < free-slack {
+					c.broken(Violation{Rule: Order, At: p.First, Dispatcher: h.Dispatcher, ID: h.ID, Endpoint: p.Endpoint, Evidence: fmt.Sprintf(
+						"pushed at %.3f; %s of the same key (%s) was taken before it and %s until %.3f", p.First, last, h.Key, why, free)})
+				}
+			}
+			over, _ := c.over(h.ID)
+			if over = min(over, h.Until+overdue); over > free {
+				free, last, why = over, h.ID, "was not over"
+			}
+			for _, p := range c.pushes[h.ID] {
+				end := p.End
+				if end == 0 {
+					end = math.Inf(1)
+				} else if p.state == record.Open {
+					end += c.world.Dispatchers.KeyRest
+				}
+				if end > free {
+					free, last, why = end, h.ID, "had a push that was out, or rested,"
+				}
+			}
+		}
+	}
+}
+
+// waits judges calls that came while a told wait ran.
+func (c *check) waits() {
+	type pair struct{ dispatcher, dest int }
+	running := map[pair]*record.Call{} // the one that ends last
+	told := slices.Clone(c.journal.Calls)
+	told = slices.DeleteFunc(told, func(x *record.Call) bool { return x.Wait <= 0 || x.End == 0 || x.Left })
+	slices.SortFunc(told, func(a, b *record.Call) int { return cmp.Compare(a.End, b.End) })
+	for _, call := range c.journal.Calls { // they stand in the order of their last bytes
+		for len(told) > 0 && told[0].End <= call.Last-letPass-slack {
+			p := pair{c.dispatcher(told[0]), told[0].Dest}
+			if r := running[p]; r == nil || r.End+r.Wait < told[0].End+told[0].Wait {
+				running[p] = told[0]
+			}
+			told = told[1:]
+		}
+		p := pair{c.dispatcher(call), call.Dest}
+		r := running[p]
+		if r == nil || call.Last >= r.End+r.Wait-clocks || c.between(p.dispatcher, r.End-slack, call.Last, record.Started) {
+			continue
+		}
+		c.broken(Violation{Rule: Waits, At: call.Last, Dispatcher: p.dispatcher, ID: call.IDs[0], Endpoint: call.Endpoint, Evidence: fmt.Sprintf(
+			"called at %.3f; at %.3f %s had told it to wait until %.3f", call.Last, r.End, r.Endpoint, r.End+r.Wait)})
+	}
+}
+
+// clocks is what a wait's rounding to milliseconds and the way of its answer may take off its end.
+const clocks = 0.002
--- /dev/null
+++ b/lab/scenario/read.go
@@ -0,0 +1,207 @@
+package scenario
+
+import (
+	"embed"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/agnivade/levenshtein"
+	"github.com/pelletier/go-toml/v2"
+)
+
+//go:embed shipped/*.toml
+var shipped embed.FS
+
+// Default is the scenario played where none is named.
+const Default = "tour"
+
+// Shipped lists the names of the scenarios in the program.
+func Shipped() []string {
+	files, _ := fs.Glob(shipped, "shipped/*.toml") // the pattern is good
+	names := make([]string, 0, len(files))
+	for _, f := range files {
+		names = append(names, strings.TrimSuffix(path.Base(f), ".toml"))
+	}
+	return names
+}
+
+// Open reads a scenario: one in the program by its name, or a file by its path.
+func Open(name string) (*Scenario, error) {
+	if slices.Contains(Shipped(), name) {
+		text, err := shipped.ReadFile("shipped/" + name + ".toml")
+		if err != nil {
+			return nil, err
+		}
+		return Parse(name, text)
+	}
+	text, err := os.ReadFile(name)
+	if errors.Is(err, fs.ErrNotExist) && !strings.ContainsAny(name, "/.") {
+		return nil, fmt.Errorf("no scenario %q: did you mean %q? \"lab list\" names all", name, Nearest(name, Shipped()))
+	}
+	if err != nil {
+		return nil, err
+	}
+	return Parse(name, text)
+}
+
+// Parse reads a scenario's text; file names it in errors. All errors are told at once, a line each.
+func Parse(file string, text []byte) (*Scenario, error) {
+	s := defaults()
+	s.Name = strings.TrimSuffix(path.Base(file), ".toml")
+	d := toml.NewDecoder(strings.NewReader(string(text)))
+	d.DisallowUnknownFields()
+	err := d.Decode(s)
+	var strict *toml.StrictMissingError
+	var odd *toml.DecodeError
+	switch {
+	case errors.As(err, &strict):
+		var all []error
+		for _, e := range strict.Errors {
+			row, _ := e.Position()
+			all = append(all, fmt.Errorf("%s:%d: unknown key %s: did you mean %s?", file, row, strings.Join(e.Key(), "."),
+				Nearest(e.Key()[len(e.Key())-1], keysAt(e.Key()))))
+		}
+		return nil, errors.Join(all...)
+	case errors.As(err, &odd):
+		row, column := odd.Position()
+		return nil, fmt.Errorf("%s:%d:%d: %s", file, row, column, strings.TrimPrefix(odd.Error(), "toml: "))
+	case err != nil:
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	fill(s)
+	if all := check(s); len(all) > 0 {
+		lines := make([]error, len(all))
+		for i, e := range all {
+			lines[i] = fmt.Errorf("%s: %w", file, e)
+		}
+		return nil, errors.Join(lines...)
+	}
+	return s, nil
+}
+
+// Nearest is the word of a list that takes the fewest changes of letters.
+func Nearest(word string, list []string) string {
+	return slices.MinFunc(list, func(a, b string) int {
+		return levenshtein.ComputeDistance(word, a) - levenshtein.ComputeDistance(word, b)
+	})
+}
+
+// keysAt lists the keys that may stand where an unknown one stands.
+func keysAt(key []string) []string {
+	t := reflect.TypeFor[Scenario]()
+	for _, name := range key[:len(key)-1] {
+		for i := range t.NumField() {
+			if t.Field(i).Tag.Get("toml") == name {
+				if t = t.Field(i).Type; t.Kind() == reflect.Slice {
+					t = t.Elem()
+				}
+				break
+			}
+		}
+	}
+	var list []string
+	for i := range t.NumField() {
+		if name := t.Field(i).Tag.Get("toml"); name != "-" {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+func defaults() *Scenario {
+	return &Scenario{
+		Seed: 1, Length: 10,
+		Dispatchers: Dispatchers{Count: 2, Slots: 32, Held: 400, Pushes: 8, Tick: 0.005, Dial: 1.5, Grace: 0.5, Cores: 1,
+			MemoryMB: 192, Sockets: 1024, DiskMB: 3},
+		Returns: Returns{ColdFrom: 0.25, ColdSpan: 4, Multiple: 2, Fall: 1.5},
+		Load: Load{Rate: 100, Clients: 4, ClumpSize: 10, Keys: 50, Body: 200, Retries: 3, RetryWait: 0.5, FrontLearns: 1,
+			LateBound: 0.05},
+	}
+}
+
+// fill puts in what lists leave out.
+func fill(s *Scenario) {
+	or := func(v *float64, other float64) {
+		if *v == 0 {
+			*v = other
+		}
+	}
+	for i := range s.Topics {
+		t := &s.Topics[i]
+		or(&t.Benefit, 1)
+		or(&t.Share, 1)
+		or(&t.Memory, 12)
+	}
+	if len(s.Tenants) == 0 {
+		s.Tenants = []Tenant{{Name: "acme"}}
+	}
+	for i := range s.Tenants {
+		or(&s.Tenants[i].Share, 1)
+	}
+	for i := range s.Kinds {
+		k := &s.Kinds[i]
+		k.Batch = max(k.Batch, 1)
+		if k.Limit == "" {
+			k.Limit = NoLimit
+		}
+		if k.Queue == 0 {
+			k.Queue = 20
+		}
+		or(&k.Window, 1)
+		or(&k.Wait, 0.3)
+		or(&k.Idle, 15)
+	}
+	for i := range s.Groups {
+		g := &s.Groups[i]
+		g.Endpoints = max(g.Endpoints, 1)
+		if g.Spread == "" {
+			g.Spread = Even
+		}
+		or(&g.Exponent, 1)
+		or(&g.Share, 1)
+		or(&g.Room, 1.5)
+		or(&g.LeastRate, 5)
+		or(&g.Service, 0.02)
+	}
+	for i := range s.Troubles {
+		t := &s.Troubles[i]
+		or(&t.Share, 1)
+		or(&t.Factor, 2)
+		if t.Kind == Drain || t.Kind == Kill || t.Kind == Restart {
+			or(&t.Wait, 1)
+		}
+		if t.Count == 0 {
+			t.Count = 1
+		}
+	}
+}
+
+// Text is the text of a scenario that Open finds.
+func Text(name string) ([]byte, error) {
+	if slices.Contains(Shipped(), name) {
+		return shipped.ReadFile("shipped/" + name + ".toml")
+	}
+	return os.ReadFile(name)
+}
+
+// Change plays a scenario with another length, load, or closed loop; 0 leaves each as it is. Troubles beyond the length
+// are left out.
+func (s *Scenario) Change(length, rate float64, closed int) error {
+	if length > 0 {
+		s.Length = length
+		s.Troubles = slices.DeleteFunc(s.Troubles, func(t Trouble) bool { return t.At > length })
+	}
+	if rate > 0 {
+		s.Load.Rate = rate
+	}
+	if closed > 0 {
+		s.Load.Closed = closed
+	}
+	return errors.Join(check(s)...)
+}
--- /dev/null
+++ b/lab/scenario/scenario.go
@@ -0,0 +1,194 @@
+// Package scenario holds what a run of the laboratory plays: its format, its checks, and the world made from it.
+package scenario
+
+// Scenario is a run as its file says it. Times are seconds; rates are a second.
+type Scenario struct {
+	Name        string         `toml:"-"`
+	Title       string         `toml:"title"`
+	About       string         `toml:"about"`
+	Seed        uint64         `toml:"seed"`
+	Length      float64        `toml:"length"` // of the load; the run goes on until all that was taken is over
+	Dispatchers Dispatchers    `toml:"dispatchers"`
+	Returns     Returns        `toml:"returns"`
+	Topics      []Topic        `toml:"topics"`
+	Tenants     []Tenant       `toml:"tenants"`
+	Kinds       []Kind         `toml:"kinds"`
+	Groups      []Destinations `toml:"destinations"`
+	Load        Load           `toml:"load"`
+	Troubles    []Trouble      `toml:"troubles"`
+}
+
+// Dispatchers says how many there are and what each may use.
+type Dispatchers struct {
+	Count    int     `toml:"count"`
+	Slots    int     `toml:"slots"`   // calls out at once
+	Held     int     `toml:"held"`    // notifications held
+	Pushes   int     `toml:"pushes"`  // for one notification
+	Tick     float64 `toml:"tick"`    // the least time between two turns
+	Dial     float64 `toml:"dial"`    // a connection is waited for so long
+	Grace    float64 `toml:"grace"`   // after a drain was told
+	KeyRest  float64 `toml:"rest"`    // of an ordered key after a push that may still run
+	Cores    float64 `toml:"cores"`   // limits of the process
+	MemoryMB float64 `toml:"memory"`  // MB
+	Sockets  int     `toml:"sockets"` // descriptors
+	DiskMB   float64 `toml:"disk"`    // MB of the lasting folder
+}
+
+// Returns says what a destination back from an outage can take.
+type Returns struct {
+	ColdFrom float64 `toml:"cold_from"` // share of its capacity at first
+	ColdSpan float64 `toml:"cold_span"` // until all is back
+	Multiple float64 `toml:"multiple"`  // sent more than so many times what it can take
+	Fall     float64 `toml:"fall"`      // for so long, it falls over and stays down
+}
+
+// The repeat kinds of a topic type.
+const (
+	Repeatable  = "repeatable"
+	Collapsible = "collapsible"
+	OnceOnly    = "once-only"
+)
+
+// Topic is a topic type.
+type Topic struct {
+	Name        string  `toml:"name"`
+	Repeat      string  `toml:"repeat"`
+	Memory      float64 `toml:"memory"` // collapsible: how long a repeat is known
+	Objective   float64 `toml:"objective"`
+	TTL         float64 `toml:"ttl"`
+	Benefit     float64 `toml:"benefit"`
+	LateBenefit float64 `toml:"late_benefit"` // share of the benefit left at the TTL
+	Ordered     bool    `toml:"ordered"`
+	Share       float64 `toml:"share"` // of all notifications
+}
+
+// Tenant is a client's organisation.
+type Tenant struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"` // of all notifications
+	Rate  float64 `toml:"rate"`  // its quota; 0: half more than its share of the load
+}
+
+// The limits of a kind.
+const (
+	NoLimit     = "none"
+	RateLimit   = "rate"
+	WindowLimit = "window"
+)
+
+// Kind is a kind of partner.
+type Kind struct {
+	Name        string  `toml:"name"`
+	Batch       int     `toml:"batch"`       // notifications that may share a call
+	Limit       string  `toml:"limit"`       // none, rate or window
+	Window      float64 `toml:"window"`      // span of a windowed limit
+	CountFull   bool    `toml:"count_full"`  // refused calls use up the limit too
+	Reports     bool    `toml:"reports"`     // answers tell what is left of the limit
+	TellWait    float64 `toml:"tell_wait"`   // share of refusals that tell a wait
+	Wait        float64 `toml:"wait"`        // the least wait told
+	Queue       int     `toml:"queue"`       // calls that wait at an endpoint
+	Connections int     `toml:"connections"` // an endpoint holds so many, idle ones counted; 0: any
+	Idle        float64 `toml:"idle"`        // idle connections are closed after so long
+	Handshake   float64 `toml:"handshake"`   // what the first call on a connection waits more
+}
+
+// How a group's traffic is shared out.
+const (
+	Even   = "even"
+	Zipf   = "zipf"
+	Listed = "listed"
+)
+
+// Destinations is a group of destinations of one kind.
+type Destinations struct {
+	Count         int       `toml:"count"`
+	Kind          string    `toml:"kind"`
+	Endpoints     int       `toml:"endpoints"`      // of each destination
+	Share         float64   `toml:"share"`          // of all notifications that this group gets
+	Spread        string    `toml:"spread"`         // even, zipf or listed
+	Exponent      float64   `toml:"exponent"`       // of zipf
+	Shares        []float64 `toml:"shares"`         // listed
+	Room          float64   `toml:"room"`           // capacity over the calls that the load asks of it
+	LeastRate     float64   `toml:"least_rate"`     // capacity of the smallest
+	Service       float64   `toml:"service"`        // median time of a call
+	ServiceSpread float64   `toml:"service_spread"` // sigma of its logarithm; 0: all alike
+	PaceSpread    float64   `toml:"pace_spread"`    // sigma of the logarithm of the median over the destinations
+	Listeners     int       `toml:"listeners"`      // destinations share so many; 0: each endpoint has its own
+}
+
+// Load is how notifications come.
+type Load struct {
+	Rate        float64 `toml:"rate"`
+	Closed      int     `toml:"closed"`     // so many connections, each waiting for its answer; 0: open loop
+	Clients     int     `toml:"clients"`    // processes that hand in
+	Clumps      float64 `toml:"clumps"`     // share of notifications that come in clumps for one destination
+	ClumpSize   int     `toml:"clump_size"` // notifications in one
+	Keys        int     `toml:"keys"`       // of ordered topic types
+	Body        int     `toml:"body"`       // bytes
+	Retries     int     `toml:"retries"`    // after a refusal
+	RetryWait   float64 `toml:"retry_wait"` // where none is told
+	FrontLearns float64 `toml:"front"`      // the front notices a dead dispatcher after so long
+	LateBound   float64 `toml:"late_bound"` // p99 of the generator's own lateness, past which a run is void
+	Ramp        []Point `toml:"ramp"`       // the rate's factor over time
+}
+
+// Point is a factor at a moment; between two it is drawn straight.
+type Point struct {
+	At     float64 `toml:"at"`
+	Factor float64 `toml:"factor"`
+}
+
+// The troubles.
+const (
+	Refuse   = "refuse"    // endpoints take no connection
+	Hang     = "hang"      // they take calls and answer none
+	Errors   = "errors"    // a share of calls fails with 500
+	Slow     = "slow"      // they answer so many times slower
+	Lost     = "lost"      // a share of calls runs, and its answer never comes
+	Reset    = "reset"     // a share of calls runs, then the connection breaks in the place of an answer
+	Reused   = "reused"    // connections that were used before break under the next call, before it runs
+	Cut      = "cut"       // a share of answers breaks off in the middle
+	Spoil    = "spoil"     // a share of answers cannot be read
+	Shut     = "shut"      // they turn all calls away; with tell a wait until they open
+	Limit    = "limit"     // the limit is so many times what it was
+	Drain    = "drain"     // endpoints drain, go, and others take their place
+	Kill     = "kill"      // dispatchers are killed outright and come back
+	Restart  = "restart"   // dispatchers are told to end, and come back
+	Stall    = "stall"     // dispatchers stand still
+	ListDown = "list-down" // the list is silent
+	Surge    = "surge"     // the load is so many times what it was
+	Hot      = "hot"       // one client process sends so much more, as a factor of the load
+	BusyDisk = "busy-disk" // the dispatchers' folders share a disk that somebody writes to
+)
+
+// Trouble is something that goes wrong for a while.
+type Trouble struct {
+	Kind         string  `toml:"kind"`
+	At           float64 `toml:"at"`
+	For          float64 `toml:"for"`
+	Pick         string  `toml:"pick"`         // partners: largest, smallest, random or all
+	Count        int     `toml:"count"`        // so many of them
+	Destinations []int   `toml:"destinations"` // or these, counted from 0
+	Endpoint     int     `toml:"endpoint"`     // only the one of this number, from 1; 0: all
+	Dispatchers  []int   `toml:"dispatchers"`  // counted from 0; none: all
+	Share        float64 `toml:"share"`        // of calls or answers; 0: all
+	Factor       float64 `toml:"factor"`
+	Tell         bool    `toml:"tell"`    // shut: the wait is told; limit: reports tell the new one
+	Wait         float64 `toml:"wait"`    // drain: from the drain's telling to the endpoint's going; restart, kill: time down
+	Warm         bool    `toml:"warm"`    // the destination comes back warm
+	Learned      float64 `toml:"learned"` // drain, list: told so much later
+}
+
+// End is when a trouble is over.
+func (t Trouble) End() float64 { return t.At + t.For }
+
+// Outage tells whether the trouble takes a destination down, so that it comes back cold.
+func (t Trouble) Outage() bool {
+	switch t.Kind {
+	case Refuse, Hang, Shut:
+		return true
+	case Errors, Lost:
+		return t.Share == 0 || t.Share > 0.5
+	}
+	return false
+}
