--- a/cmd/orchiddrift/lab.go
+++ b/cmd/orchiddrift/lab.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"text/tabwriter"
 
@@ -46,14 +47,16 @@
 
 func newLabRun() *cobra.Command {
 	f := &labRun{}
-	c := &cobra.Command{Use: "run [SCENARIO]", Short: "Play a scenario: a shipped one by name, or a file", Args: cobra.MaximumNArgs(1),
+	c := &cobra.Command{Use: "run [SCENARIO...]", Short: "Play scenarios: shipped ones by name, or files; \"all\" for all shipped",
 		ValidArgs: scenario.Shipped(),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			name := scenario.Default
-			if len(args) > 0 {
-				name = args[0]
+			switch {
+			case len(args) == 0:
+				args = []string{scenario.Default}
+			case len(args) == 1 && args[0] == "all":
+				args = scenario.Shipped()
 			}
-			return f.run(cmd, name)
+			return f.run(cmd, args)
 		}}
 	flags := c.Flags()
 	flags.Uint64Var(&f.seed, "seed", 0, "another seed than the scenario's")
@@ -61,7 +64,7 @@
 	flags.Float64Var(&f.length, "length", 0, "another length, in seconds")
 	flags.Float64Var(&f.rate, "rate", 0, "another load, in notifications a second")
 	flags.IntVar(&f.closed, "closed", 0, "a closed loop of so many connections in the place of the planned arrivals")
-	flags.StringVar(&f.html, "html", "report.html", "where the report goes; \"\" for nowhere")
+	flags.StringVar(&f.html, "html", "report.html", "where the last run's report goes; \"\" for nowhere")
 	flags.StringVar(&f.json, "json", "", "where the figures go as JSON")
 	flags.StringVar(&f.keep, "keep", "", "a folder that keeps configurations, logs and the journal of what was seen")
 	flags.StringVar(&f.state, "state", "", "the folder in which dispatchers' lasting folders are made")
@@ -71,10 +74,21 @@
 	return c
 }
 
-func (f *labRun) run(cmd *cobra.Command, name string) error {
+// run plays the scenarios one after another. Results are written as they come, so that what ends early leaves them.
+func (f *labRun) run(cmd *cobra.Command, names []string) error {
 	if f.repeat < 1 || f.repeat > 100 {
 		return fmt.Errorf("--repeat cannot be %d: give 1 to 100", f.repeat)
 	}
+	var all []*scenario.Scenario // read before the first is played: a bad one is told at once
+	for _, name := range names {
+		for i := range f.repeat {
+			s, err := f.scenario(name, uint64(i))
+			if err != nil {
+				return failed(err)
+			}
+			all = append(all, s)
+		}
+	}
 	self, err := os.Executable()
 	if err != nil {
 		return failed(err)
@@ -86,12 +100,12 @@
 	ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	var file report.File
-	for i := range f.repeat {
-		s, err := f.scenario(name, uint64(i))
-		if err != nil {
-			return failed(err)
+	for _, s := range all {
+		folder := f.keep
+		if folder != "" && len(all) > 1 {
+			folder = filepath.Join(folder, fmt.Sprintf("%s-%d", s.Name, s.Seed))
 		}
-		r, _, err := lab.Run(ctx, s, lab.Options{Command: command, Straight: f.straight, State: f.state, Keep: f.folder(i),
+		r, _, err := lab.Run(ctx, s, lab.Options{Command: command, Straight: f.straight, State: f.state, Keep: folder,
 			Progress: f.progress(cmd.ErrOrStderr(), s)})
 		if err != nil {
 			return failed(err)
@@ -122,14 +136,7 @@
 	return s, s.Change(f.length, f.rate, f.closed)
 }
 
-func (f *labRun) folder(i int) string {
-	if f.keep == "" || f.repeat == 1 {
-		return f.keep
-	}
-	return filepath.Join(f.keep, fmt.Sprint(i+1))
-}
-
-// progress writes a line a second: over the last one on a terminal.
+// progress writes a line a second.
 func (f *labRun) progress(to io.Writer, s *scenario.Scenario) func(lab.Progress) {
 	if f.quiet {
 		return nil
@@ -169,13 +176,14 @@
 		broken += len(r.Violations)
 	}
 	last := file.Runs[len(file.Runs)-1]
+	void := slices.IndexFunc(file.Runs, func(r *report.Result) bool { return r.Void != "" })
 	switch {
 	case broken > 0:
 		return exit{ruleBroken, fmt.Errorf("the rules were broken %d times: the table names the evidence", broken)}
 	case last.Interrupted:
 		return exit{failure, errors.New("interrupted: the results are of the part that was played")}
-	case last.Void != "":
-		return exit{failure, fmt.Errorf("void: %s", last.Void)}
+	case void >= 0:
+		return exit{failure, fmt.Errorf("void: %s: %s", file.Runs[void].Scenario, file.Runs[void].Void)}
 	}
 	return nil
 }
--- a/lab/behaviour/behaviour.go
+++ b/lab/behaviour/behaviour.go
@@ -23,6 +23,7 @@
 	Break             // the connection is reset in the place of an answer
 	CutOff            // the answer breaks off in the middle
 	Spoilt            // the answer cannot be read
+	Close             // the answer is good, and the connection is closed untold behind it
 )
 
 // Fate is what becomes of a call.
@@ -146,7 +147,7 @@
 	for _, odd := range []struct {
 		kind string
 		way  Way
-	}{{scenario.Lost, Silent}, {scenario.Reset, Break}, {scenario.Cut, CutOff}, {scenario.Spoil, Spoilt}} {
+	}{{scenario.Lost, Silent}, {scenario.Reset, Break}, {scenario.Cut, CutOff}, {scenario.Spoil, Spoilt}, {scenario.Close, Close}} {
 		if f := p.hit(odd.kind, now, e); f != nil && chance.Float64() < f.Share {
 			fate.Way, fate.Why = odd.way, f.Kind
 			break
@@ -161,7 +162,7 @@
 	switch {
 	case f.Way == Silent || f.Way == Break:
 		state = record.Open
-	case f.Way == Answer && f.Status == 200:
+	case (f.Way == Answer || f.Way == Close) && f.Status == 200:
 		state = record.Done
 	case f.Way == Answer && f.Status == 500:
 		state = record.Failed
@@ -268,7 +269,10 @@
 		}
 		p.starts[e.Index] = append(p.starts[e.Index], start)
 	}
-	work := p.spec.Service * math.Exp(p.spec.Spread*chance.NormFloat64()) / p.world.Warmth(p.spec.Dest, now)
+	work := p.spec.Service * math.Exp(p.spec.Spread*chance.NormFloat64())
+	if !p.world.Down(p.spec.Dest, now) { // what still works in an outage is as fast as before
+		work /= p.world.Warmth(p.spec.Dest, now)
+	}
 	if f := p.hit(scenario.Slow, now, e); f != nil {
 		work *= f.Factor
 	}
--- /dev/null
+++ b/lab/behaviour/behaviour_test.go
@@ -0,0 +1,113 @@
+package behaviour_test
+
+import (
+	"fmt"
+
+	"orchiddrift/lab/behaviour"
+	"orchiddrift/lab/scenario"
+)
+
+// partner is a destination of one kind, with troubles, that takes 4 calls a second.
+func partner(kind scenario.Kind, troubles ...scenario.Trouble) *behaviour.Partner {
+	kind.Name = "k"
+	for i := range troubles {
+		troubles[i].Destinations = []int{0}
+	}
+	s := &scenario.Scenario{Seed: 1, Length: 20, Kinds: []scenario.Kind{kind}, Troubles: troubles,
+		Returns: scenario.Returns{ColdFrom: 0.25, ColdSpan: 4, Multiple: 2, Fall: 1.5}, Load: scenario.Load{Rate: 1},
+		Groups: []scenario.Destinations{{Count: 1, Kind: "k", Endpoints: 1, Share: 1, Room: 1, LeastRate: 4, Service: 0.25}}}
+	w := scenario.NewWorld(s)
+	return behaviour.New(w, w.Partners[0])
+}
+
+// show prints what becomes of calls, one at each moment.
+func show(p *behaviour.Partner, at ...float64) {
+	for i, t := range at {
+		f := p.Arrive(t, 0, behaviour.Call{IDs: []string{fmt.Sprint("n", i)}})
+		fmt.Printf("%.2f: way %d status %d after %.2f wait %.2f %q ran %v because %q", t, f.Way, f.Status, f.After, f.Wait, f.States[0], f.Ran[0], f.Why)
+		if f.Report {
+			fmt.Printf(" left %.2f of %.2f", f.Share, f.Limit)
+		}
+		fmt.Println()
+	}
+}
+
+// A plain rate lets half a second's calls through at once, then as many as come back; it tells when.
+func Example_rate() {
+	show(partner(scenario.Kind{Limit: scenario.RateLimit, TellWait: 1, Wait: 0.1, Reports: true, Queue: 9}), 1, 1, 1, 1.25, 1.3)
+	// Output:
+	// 1.00: way 0 status 200 after 0.25 wait 0.00 "done" ran true because "" left 0.25 of 4.00
+	// 1.00: way 0 status 200 after 0.25 wait 0.00 "done" ran true because "" left 0.00 of 4.00
+	// 1.00: way 0 status 429 after 0.00 wait 0.25 "busy" ran false because "" left 0.00 of 4.00
+	// 1.25: way 0 status 200 after 0.25 wait 0.00 "done" ran true because "" left 0.00 of 4.00
+	// 1.30: way 0 status 429 after 0.00 wait 0.20 "busy" ran false because "" left 0.05 of 4.00
+}
+
+// A windowed limit that counts refused calls, and one lowered in silence: the report tells the old.
+func Example_window() {
+	show(partner(scenario.Kind{Limit: scenario.WindowLimit, Window: 1, CountFull: true, TellWait: 1, Wait: 0.1, Reports: true, Queue: 9},
+		scenario.Trouble{Kind: scenario.Limit, At: 2, For: 2, Factor: 0.25}), 1.9, 2.1, 2.2, 3.1)
+	// Output:
+	// 1.90: way 0 status 200 after 0.25 wait 0.00 "done" ran true because "" left 0.75 of 4.00
+	// 2.10: way 0 status 200 after 0.25 wait 0.00 "done" ran true because "" left 0.00 of 4.00
+	// 2.20: way 0 status 429 after 0.00 wait 0.80 "busy" ran false because "" left 0.00 of 4.00
+	// 3.10: way 0 status 200 after 0.25 wait 0.00 "done" ran true because "" left 0.00 of 4.00
+}
+
+// Slots, then a queue, then refusals; work takes longer while cold.
+func Example_queue() {
+	show(partner(scenario.Kind{Queue: 1}), 1, 1, 1, 1)
+	show(partner(scenario.Kind{Queue: 1}, scenario.Trouble{Kind: scenario.Shut, At: 1, For: 1, Tell: true}), 1.5, 2, 4, 9)
+	// Output:
+	// 1.00: way 0 status 200 after 0.25 wait 0.00 "done" ran true because ""
+	// 1.00: way 0 status 200 after 0.25 wait 0.00 "done" ran true because ""
+	// 1.00: way 0 status 200 after 0.50 wait 0.00 "done" ran true because ""
+	// 1.00: way 0 status 503 after 0.00 wait 0.00 "busy" ran false because "queue full"
+	// 1.50: way 0 status 429 after 0.00 wait 0.50 "busy" ran false because "shut"
+	// 2.00: way 0 status 200 after 1.00 wait 0.00 "done" ran true because ""
+	// 4.00: way 0 status 200 after 0.40 wait 0.00 "done" ran true because ""
+	// 9.00: way 0 status 200 after 0.25 wait 0.00 "done" ran true because ""
+}
+
+// Cold at 1 call a second, it falls over once it was sent more than twice that in each part of 1.5 seconds; a burst of
+// a moment does not push it over.
+func Example_fall() {
+	burst := partner(scenario.Kind{Queue: 99}, scenario.Trouble{Kind: scenario.Hang, At: 0, For: 1})
+	for i := range 30 {
+		burst.Arrive(1.1, 0, behaviour.Call{IDs: []string{fmt.Sprint(i)}})
+	}
+	fmt.Println("a burst:", burst.Fallen())
+	steady := partner(scenario.Kind{Queue: 99}, scenario.Trouble{Kind: scenario.Hang, At: 0, For: 1})
+	for i := 0; !steady.Fallen() && i < 40; i++ {
+		at := 1.1 + float64(i)*0.1
+		if steady.Arrive(at, 0, behaviour.Call{IDs: []string{fmt.Sprint(i)}}); steady.Fallen() {
+			fmt.Printf("ten a second: fallen at %.1f\n", at)
+		}
+	}
+	show(steady, 6)
+	// Output:
+	// a burst: false
+	// ten a second: fallen at 2.3
+	// 6.00: way 0 status 503 after 0.00 wait 0.00 "busy" ran false because "fallen over"
+}
+
+// The faults, one each: what has run is told by nobody but the partner.
+func Example_faults() {
+	for _, kind := range []string{scenario.Hang, scenario.Errors, scenario.Lost, scenario.Reset, scenario.Cut, scenario.Spoil, scenario.Close} {
+		show(partner(scenario.Kind{Queue: 9}, scenario.Trouble{Kind: kind, At: 1, For: 1, Share: 1}), 1.5)
+	}
+	p := partner(scenario.Kind{Queue: 9}, scenario.Trouble{Kind: scenario.Reused, At: 1, For: 1, Share: 1},
+		scenario.Trouble{Kind: scenario.Refuse, At: 3, For: 1}, scenario.Trouble{Kind: scenario.Drain, At: 5, Wait: 1})
+	fmt.Println(p.Arrive(1.5, 0, behaviour.Call{IDs: []string{"a"}, Reused: true}).Way, p.Arrive(1.5, 0, behaviour.Call{IDs: []string{"b"}}).Way)
+	fmt.Println(p.Takes(2, 0), p.Takes(3.5, 0), p.Takes(6.5, 0), p.Takes(7.1, 0), "and its follower", p.Takes(4, 1), p.Takes(5, 1))
+	// Output:
+	// 1.50: way 1 status 0 after 0.00 wait 0.00 "" ran false because "hang"
+	// 1.50: way 0 status 500 after 0.01 wait 0.00 "failed" ran true because "errors"
+	// 1.50: way 1 status 200 after 0.25 wait 0.00 "" ran true because "lost"
+	// 1.50: way 2 status 200 after 0.25 wait 0.00 "" ran true because "reset"
+	// 1.50: way 3 status 200 after 0.25 wait 0.00 "odd" ran true because "cut"
+	// 1.50: way 4 status 200 after 0.25 wait 0.00 "odd" ran true because "spoil"
+	// 1.50: way 5 status 200 after 0.25 wait 0.00 "done" ran true because "close"
+	// 2 0
+	// true false true false and its follower false true
+}
--- /dev/null
+++ b/lab/lab_test.go
@@ -0,0 +1,178 @@
+package lab_test
+
+import (
+	"context"
+	"fmt"
+	"io/fs"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"orchiddrift/dispatcher"
+	"orchiddrift/lab"
+	"orchiddrift/lab/fleet"
+	"orchiddrift/lab/loop"
+	"orchiddrift/lab/planted"
+	"orchiddrift/lab/report"
+	"orchiddrift/lab/rules"
+	"orchiddrift/lab/scenario"
+)
+
+// TestMain lets the test binary stand in for the dispatcher, or for one that breaks a rule.
+func TestMain(m *testing.M) {
+	role, rule, _ := strings.Cut(os.Getenv("ORCHIDDRIFT_TEST"), ":")
+	var err error
+	switch role {
+	case "run":
+		err = dispatcher.Run(os.Getenv, dispatcher.Logs{To: os.Stderr, Level: zerolog.InfoLevel})
+	case "planted":
+		err = planted.Run(os.Getenv, rule)
+	default:
+		os.Exit(m.Run())
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command(role string) fleet.Command {
+	return fleet.Command{Path: os.Args[0], Env: []string{"ORCHIDDRIFT_TEST=" + role}}
+}
+
+func open(name string) *scenario.Scenario {
+	s, err := scenario.Open(name)
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+// brokenRules names the rules that a run broke, in their order.
+func brokenRules(r *report.Result) string {
+	seen := map[string]bool{}
+	for _, v := range r.Violations {
+		seen[v.Rule] = true
+	}
+	var list []string
+	for _, rule := range rules.All {
+		if seen[rule] {
+			list = append(list, rule)
+		}
+	}
+	return strings.Join(list, " ")
+}
+
+// A dispatcher that breaks a rule is seen to break it; one that keeps all, and the real one, are not.
+func TestPlanted(t *testing.T) {
+	for _, rule := range append([]string{"none", "real"}, rules.All...) {
+		t.Run(rule, func(t *testing.T) {
+			t.Parallel()
+			role, want := "planted:"+rule, rule
+			switch rule {
+			case "none":
+				role, want = "planted:", ""
+			case "real":
+				role, want = "run", ""
+			}
+			r, _, err := lab.Run(context.Background(), open("rules"), lab.Options{Command: command(role)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := brokenRules(r)
+			if want == "" && got != "" || !strings.Contains(got, want) {
+				t.Errorf("broke %q, want %q; first: %v", got, want, r.Violations[:min(3, len(r.Violations))])
+			}
+			if r.Totals.Handed != r.Totals.Planned || r.Totals.Taken == 0 {
+				t.Errorf("handed in %d of %d, %d taken on", r.Totals.Handed, r.Totals.Planned, r.Totals.Taken)
+			}
+		})
+	}
+}
+
+// The real dispatcher keeps the rules where several things go wrong together.
+func TestScenarios(t *testing.T) {
+	for _, name := range []string{"tour", "all-at-once", "lost-and-killed", "cold-restart", "drain-in-wait"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := open(name)
+			s.Load.Rate = 60 // a machine may have few cores, and others beside
+			r, j, err := lab.Run(context.Background(), s, lab.Options{Command: command("run")})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, v := range r.Violations {
+				t.Error(v)
+			}
+			if r.Totals.Delivered*2 < r.Totals.Planned {
+				t.Errorf("delivered %d of %d", r.Totals.Delivered, r.Totals.Planned)
+			}
+			if len(j.Calls) == 0 || r.Totals.Pushes < r.Totals.Delivered {
+				t.Errorf("%d calls and %d pushes for %d delivered", len(j.Calls), r.Totals.Pushes, r.Totals.Delivered)
+			}
+		})
+	}
+}
+
+// What does not come up is told in one line, and leaves nothing behind.
+func TestBadStart(t *testing.T) {
+	s := open("calm")
+	network, err := loop.Find()
+	if err != nil {
+		t.Fatal(err)
+	}
+	taken, err := net.Listen("tcp", network.Endpoint(3))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _, err = lab.Run(context.Background(), s, lab.Options{Command: command("run"), Network: network})
+	if err == nil || !strings.Contains(err.Error(), "address already in use") || strings.Contains(err.Error(), "\n") {
+		t.Errorf("a port in use: %v", err)
+	}
+	_ = taken.Close()
+	s.Dispatchers.Count = 1
+	_, _, err = lab.Run(context.Background(), s, lab.Options{Command: command("planted:nothing"), Network: network})
+	if err == nil || !strings.Contains(err.Error(), "ended before it was ready") || strings.Contains(err.Error(), "\n") {
+		t.Errorf("a dispatcher that does not come up: %v", err)
+	}
+	_, _, err = lab.Run(context.Background(), s, lab.Options{Command: command("run"), State: "/nowhere"})
+	if err == nil || !strings.HasPrefix(err.Error(), "--state: ") {
+		t.Errorf("no folder: %v", err)
+	}
+}
+
+// An interrupted run ends its processes at once and keeps what it has.
+func TestInterrupt(t *testing.T) {
+	s := open("calm")
+	dir := t.TempDir()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	r, j, err := lab.Run(ctx, s, lab.Options{Command: command("run"), Keep: dir})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !r.Interrupted || len(j.HandIns) == 0 || r.Totals.Handed >= r.Totals.Planned {
+		t.Errorf("interrupted %v with %d of %d handed in", r.Interrupted, r.Totals.Handed, r.Totals.Planned)
+	}
+	if info, err := os.Stat(filepath.Join(dir, "journal.jsonl")); err != nil || info.Size() == 0 {
+		t.Errorf("no journal: %v", err)
+	}
+	left := 0
+	_ = filepath.WalkDir("/proc", func(path string, d fs.DirEntry, _ error) error {
+		if strings.Count(path, "/") > 2 {
+			return fs.SkipDir
+		}
+		if text, err := os.ReadFile(filepath.Join(path, "environ")); err == nil && strings.Contains(string(text), "ROUTER_CONFIG="+dir) {
+			left++
+		}
+		return nil
+	})
+	if left > 0 {
+		t.Errorf("%d processes are left", left)
+	}
+}
--- a/lab/loop/loop.go
+++ b/lab/loop/loop.go
@@ -19,10 +19,13 @@
 	tries        = 8
 )
 
+// found counts the networks that this process looked at: two runs of it never get the same.
+var found atomic.Int64
+
 // Find returns a network in which nobody listens yet. Runs side by side get different ones.
 func Find() (Network, error) {
-	for i := range tries {
-		n := Network(firstNetwork + (os.Getpid()*7+i)%networks)
+	for range tries {
+		n := Network(firstNetwork + (os.Getpid()*31+int(found.Add(1)))%networks)
 		ln, err := net.Listen("tcp", n.Agent(0))
 		if err == nil {
 			return n, ln.Close()
--- a/lab/partner/conn.go
+++ b/lab/partner/conn.go
@@ -206,7 +206,8 @@
 		}
 		return false
 	}
-	return c.write(r, fate, func() { r.Status, r.Wait, r.States = fate.Status, fate.Wait, fate.States }) && !c.beyond
+	return c.write(r, fate, func() { r.Status, r.Wait, r.States = fate.Status, fate.Wait, fate.States }) &&
+		!c.beyond && fate.Way != behaviour.Close
 }
 
 // rest waits for the moment of an answer. It tells whether the connection still stands, and else notes its end.
--- a/lab/report/text.go
+++ b/lab/report/text.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"reflect"
+	"slices"
 	"text/tabwriter"
 
 	"gonum.org/v1/gonum/stat"
@@ -112,29 +113,60 @@
 
 // Difference is one figure of two sets of runs.
 type Difference struct {
-	Figure string  `json:"figure"`
-	A      float64 `json:"a"`
-	B      float64 `json:"b"`
-	NoiseA float64 `json:"noise_a"` // standard deviation over the repeats
-	NoiseB float64 `json:"noise_b"`
-	Beyond bool    `json:"beyond_noise"` // the difference is more than twice the larger of them; never of single runs
+	Scenario string  `json:"scenario"`
+	RunsA    int     `json:"runs_a"`
+	RunsB    int     `json:"runs_b"`
+	Figure   string  `json:"figure"`
+	A        float64 `json:"a"`
+	B        float64 `json:"b"`
+	NoiseA   float64 `json:"noise_a"` // standard deviation over the repeats
+	NoiseB   float64 `json:"noise_b"`
+	Beyond   bool    `json:"beyond_noise"` // the difference is more than twice the larger of them; never of single runs
 }
 
-// Compare sets the figures of two files beside each other.
+// Compare sets the figures of two files beside each other, those of each scenario that both played.
 func Compare(a, b File) []Difference {
 	var list []Difference
 	t := reflect.TypeFor[Figures]()
-	for i := range t.NumField() {
-		x, y := values(a, i), values(b, i)
-		d := Difference{Figure: t.Field(i).Tag.Get("json")}
-		d.A, d.NoiseA = stat.PopMeanStdDev(x, nil)
-		d.B, d.NoiseB = stat.PopMeanStdDev(y, nil)
-		d.Beyond = len(x) > 1 && len(y) > 1 && max(d.B-d.A, d.A-d.B) > 2*max(d.NoiseA, d.NoiseB)
-		list = append(list, d)
+	for _, name := range a.scenarios() {
+		of, to := a.of(name), b.of(name)
+		for i := range t.NumField() {
+			x, y := values(of, i), values(to, i)
+			if len(y) == 0 {
+				continue
+			}
+			d := Difference{Scenario: name, Figure: t.Field(i).Tag.Get("json"), RunsA: len(x), RunsB: len(y)}
+			d.A, d.NoiseA = stat.PopMeanStdDev(x, nil)
+			d.B, d.NoiseB = stat.PopMeanStdDev(y, nil)
+			d.Beyond = len(x) > 1 && len(y) > 1 && max(d.B-d.A, d.A-d.B) > 2*max(d.NoiseA, d.NoiseB)
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
+// scenarios lists those played, in their order.
+func (f File) scenarios() []string {
+	var list []string
+	for _, r := range f.Runs {
+		if !slices.Contains(list, r.Scenario) {
+			list = append(list, r.Scenario)
+		}
 	}
 	return list
 }
 
+// of is the runs of one scenario.
+func (f File) of(name string) File {
+	var of File
+	for _, r := range f.Runs {
+		if r.Scenario == name {
+			of.Runs = append(of.Runs, r)
+		}
+	}
+	return of
+}
+
 func values(f File, field int) []float64 {
 	var list []float64
 	for _, r := range f.Runs {
@@ -147,11 +179,17 @@
 func CompareTable(to io.Writer, nameA, nameB string, a, b File) {
 	t := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
 	defer t.Flush()
-	fmt.Fprintf(t, "figure\t%s (%d runs)\tnoise\t%s (%d runs)\tnoise\tdifference\t\n", nameA, len(a.Runs), nameB, len(b.Runs))
-	for _, d := range Compare(a, b) {
+	list := Compare(a, b)
+	if len(list) == 0 {
+		fmt.Fprintln(t, "the two files have no scenario in common")
+	}
+	for i, d := range list {
+		if i == 0 || d.Scenario != list[i-1].Scenario {
+			fmt.Fprintf(t, "%s\t%s (%d runs)\tnoise\t%s (%d runs)\tnoise\tdifference\t\n", d.Scenario, nameA, d.RunsA, nameB, d.RunsB)
+		}
 		verdict := "within the noise"
 		switch {
-		case len(a.Runs) == 1 || len(b.Runs) == 1:
+		case d.RunsA == 1 || d.RunsB == 1:
 			verdict = "noise not known: use --repeat"
 		case d.Beyond:
 			verdict = "beyond the noise"
--- a/lab/scenario/check.go
+++ b/lab/scenario/check.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-var troubles = []string{Refuse, Hang, Errors, Slow, Lost, Reset, Reused, Cut, Spoil, Shut, Limit, Drain, Kill, Restart, Stall,
+var troubles = []string{Refuse, Hang, Errors, Slow, Lost, Reset, Reused, Cut, Spoil, Close, Shut, Limit, Drain, Kill, Restart, Stall,
 	ListDown, Surge, Hot, BusyDisk}
 
 // OfPartners tells whether a trouble is one of destinations' endpoints.
--- a/lab/scenario/read.go
+++ b/lab/scenario/read.go
@@ -52,7 +52,21 @@
 
 // Parse reads a scenario's text; file names it in errors. All errors are told at once, a line each.
 func Parse(file string, text []byte) (*Scenario, error) {
-	s := defaults()
+	s, base := defaults(), &Scenario{}
+	var first struct{ Extends string }
+	if toml.Unmarshal(text, &first) == nil && first.Extends != "" { // text that cannot be read is told below
+		if !slices.Contains(Shipped(), first.Extends) || first.Extends == strings.TrimSuffix(path.Base(file), ".toml") {
+			return nil, fmt.Errorf("%s: extends: no shipped scenario %q: did you mean %q?", file, first.Extends,
+				Nearest(first.Extends, Shipped()))
+		}
+		var err error
+		if base, err = Open(first.Extends); err != nil {
+			return nil, err
+		}
+		copied := *base
+		s = &copied
+		s.Topics, s.Tenants, s.Kinds, s.Groups, s.Troubles, s.Load.Ramp = nil, nil, nil, nil, nil, nil
+	}
 	s.Name = strings.TrimSuffix(path.Base(file), ".toml")
 	d := toml.NewDecoder(strings.NewReader(string(text)))
 	d.DisallowUnknownFields()
@@ -74,6 +88,10 @@
 	case err != nil:
 		return nil, fmt.Errorf("%s: %w", file, err)
 	}
+	inherit(&s.Topics, base.Topics)
+	inherit(&s.Tenants, base.Tenants)
+	inherit(&s.Kinds, base.Kinds)
+	inherit(&s.Groups, base.Groups)
 	fill(s)
 	if all := check(s); len(all) > 0 {
 		lines := make([]error, len(all))
@@ -85,6 +103,14 @@
 	return s, nil
 }
 
+// inherit takes a list from the scenario that another extends, where that has none of its own. Troubles and ramps are
+// not taken: they are what a scenario is about.
+func inherit[T any](list *[]T, base []T) {
+	if *list == nil {
+		*list = slices.Clone(base)
+	}
+}
+
 // Nearest is the word of a list that takes the fewest changes of letters.
 func Nearest(word string, list []string) string {
 	return slices.MinFunc(list, func(a, b string) int {
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -6,6 +6,7 @@
 	Name        string         `toml:"-"`
 	Title       string         `toml:"title"`
 	About       string         `toml:"about"`
+	Extends     string         `toml:"extends"` // a shipped scenario; what is not said here is as there
 	Seed        uint64         `toml:"seed"`
 	Length      float64        `toml:"length"` // of the load; the run goes on until all that was taken is over
 	Dispatchers Dispatchers    `toml:"dispatchers"`
@@ -149,6 +150,7 @@
 	Reused   = "reused"    // connections that were used before break under the next call, before it runs
 	Cut      = "cut"       // a share of answers breaks off in the middle
 	Spoil    = "spoil"     // a share of answers cannot be read
+	Close    = "close"     // a share of connections is closed untold behind a good answer
 	Shut     = "shut"      // they turn all calls away; with tell a wait until they open
 	Limit    = "limit"     // the limit is so many times what it was
 	Drain    = "drain"     // endpoints drain, go, and others take their place
--- /dev/null
+++ b/lab/scenario/scenario_test.go
@@ -0,0 +1,102 @@
+package scenario_test
+
+import (
+	"fmt"
+
+	"orchiddrift/lab/scenario"
+)
+
+// All that is wrong is told at once, each with its file and, where the text shows it, its line.
+func Example_errors() {
+	for _, text := range []string{
+		"lenght = 3\n[load]\nrat = 5\n[[topics]]\nname = \"a\"\nrepeat = \"once-only\"\nobjektive = 2\n",
+		"length = \"long\"\n",
+		"length =\n",
+		"extends = \"clam\"\n",
+		"length = 0.1\n[[topics]]\nname = \"a\"\nrepeat = \"sometimes\"\nobjective = 2.0\nttl = 1.0\n" +
+			"[[kinds]]\nname = \"k\"\nlimit = \"windows\"\n[[destinations]]\ncount = 2\nkind = \"q\"\n" +
+			"[[troubles]]\nkind = \"hnag\"\nat = 99.0\n[[troubles]]\nkind = \"refuse\"\ndestinations = [2]\n",
+		"extends = \"saturate\"\n[[troubles]]\nkind = \"refuse\"\npick = \"largest\"\n",
+	} {
+		_, err := scenario.Parse("x.toml", []byte(text))
+		fmt.Println(err)
+	}
+	_, err := scenario.Open("outtage")
+	fmt.Println(err)
+	// Output:
+	// x.toml:1: unknown key lenght: did you mean length?
+	// x.toml:3: unknown key load.rat: did you mean rate?
+	// x.toml:7: unknown key topics.objektive: did you mean objective?
+	// x.toml:1:10: cannot decode TOML string into struct field scenario.Scenario.Length of type float64
+	// x.toml:1:9: unexpected character U+000A at start of value
+	// x.toml: extends: no shipped scenario "clam": did you mean "calm"?
+	// x.toml: length: cannot be 0.1: give 0.5 to 600
+	// x.toml: topics[0].repeat: cannot be "sometimes": did you mean "repeatable"?
+	// x.toml: topics[0].ttl: cannot be 1: give 2 to 600
+	// x.toml: kinds[0].limit: cannot be "windows": did you mean "window"?
+	// x.toml: destinations[0].kind: "q" is no kind: add it under [[kinds]]
+	// x.toml: troubles[0].kind: cannot be "hnag": did you mean "hang"?
+	// x.toml: troubles[0].at: cannot be 99: give 0 to 0.1
+	// x.toml: troubles[0].pick: cannot be "": did you mean "all"?
+	// x.toml: troubles[1].destinations: 2 is not there: they go from 0 to 1
+	// x.toml: troubles[0].pick: cannot be used with refuse where destinations share listeners: name destinations that do not
+	// no scenario "outtage": did you mean "outage"? "lab list" names all
+}
+
+// The same scenario makes the same world and plan, and another seed another; drained endpoints are replaced.
+func Example_world() {
+	s, err := scenario.Open("drains")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	plan := func(seed uint64) []scenario.Arrival {
+		t := *s
+		t.Seed = seed
+		return scenario.NewWorld(&t).Arrivals()
+	}
+	a, b, c := plan(1), plan(1), plan(2)
+	same := len(a) == len(b)
+	for i := range a {
+		same = same && a[i] == b[i]
+	}
+	fmt.Println(same, len(a) == len(c) && a[0] == c[0], len(a) > 800 && len(a) < 1150)
+	w := scenario.NewWorld(s)
+	for _, e := range w.Partners[0].Endpoints {
+		fmt.Printf("%s number %d, from %.1f, drains %.1f, goes %.1f\n", e.ID, e.Number, e.Born, e.Drains, e.Goes)
+	}
+	// Output:
+	// true false true
+	// e0-0 number 0, from 0.0, drains 1.5, goes 3.5
+	// e0-1 number 1, from 0.0, drains 1.5, goes 3.5
+	// e0-2 number 0, from 1.5, drains 0.0, goes 0.0
+	// e0-3 number 1, from 1.5, drains 0.0, goes 0.0
+}
+
+// Every shipped scenario is good.
+func Example_shipped() {
+	for _, name := range scenario.Shipped() {
+		if _, err := scenario.Open(name); err != nil {
+			fmt.Println(err)
+		}
+	}
+	_, err := scenario.Open(scenario.Default)
+	fmt.Println(len(scenario.Shipped()) >= 10, err)
+	// Output: true <nil>
+}
+
+// A destination back from an outage is cold, then warms.
+func Example_warmth() {
+	s, _ := scenario.Open("outage")
+	w := scenario.NewWorld(s)
+	for _, at := range []float64{1, 3, 4.5, 6.5, 8.5, 10} {
+		fmt.Printf("%.1f: down %v, %.3f\n", at, w.Down(0, at), w.Warmth(0, at))
+	}
+	// Output:
+	// 1.0: down false, 1.000
+	// 3.0: down true, 0.250
+	// 4.5: down false, 0.250
+	// 6.5: down false, 0.625
+	// 8.5: down false, 1.000
+	// 10.0: down false, 1.000
+}
