--- a/cmd/orchiddrift/lab.go
+++ b/cmd/orchiddrift/lab.go
@@ -43,6 +43,7 @@
 	quiet        bool
 	length, rate float64
 	closed       int
+	profile      bool
 }
 
 func newLabRun() *cobra.Command {
@@ -70,6 +71,7 @@
 	flags.StringVar(&f.state, "state", "", "the folder in which dispatchers' lasting folders are made")
 	flags.BoolVar(&f.straight, "straight", false, "hand in straight to the partners, to measure without a dispatcher")
 	flags.StringVar(&f.planted, "planted", "none", "a dispatcher that breaks this rule on purpose in the real one's place; \"\" for one that keeps all")
+	flags.BoolVar(&f.profile, "profile", false, "with --keep: a CPU profile of each dispatcher beside its log")
 	flags.BoolVarP(&f.quiet, "quiet", "q", false, "no progress")
 	return c
 }
@@ -89,11 +91,14 @@
 			all = append(all, s)
 		}
 	}
+	if f.profile && (f.keep == "" || f.planted != "none") {
+		return errors.New("--profile needs --keep, and a real dispatcher")
+	}
 	self, err := os.Executable()
 	if err != nil {
 		return failed(err)
 	}
-	command := fleet.Command{Path: self, Args: []string{"run"}}
+	command := fleet.Command{Path: self, Args: []string{"run"}, Profile: f.profile}
 	if f.planted != "none" {
 		command.Args = []string{"lab", "planted", f.planted}
 	}
--- a/cmd/orchiddrift/main.go
+++ b/cmd/orchiddrift/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"runtime/pprof"
 
 	"github.com/spf13/cobra"
 
@@ -53,14 +54,16 @@
 }
 
 func newRoot() *cobra.Command {
-	var level, format string
+	var level, format, profile string
 	run := func(cmd *cobra.Command, _ []string) error {
 		logs, err := dispatcher.NewLogs(os.Stderr, level, format)
 		if err != nil {
 			return err
 		}
-		return failed(dispatcher.Run(os.Getenv, logs))
+		return failed(profiled(profile, func() error { return dispatcher.Run(os.Getenv, logs) }))
 	}
+	runCommand := &cobra.Command{Use: "run", Short: "Run a dispatcher, told by the ROUTER_ variables", Args: cobra.NoArgs, RunE: run}
+	runCommand.Flags().StringVar(&profile, "cpuprofile", "", "write a CPU profile here when it ends")
 	root := &cobra.Command{
 		Use:   "orchiddrift",
 		Short: "An outbound gateway: notifications pushed to many partners' systems",
@@ -81,13 +84,30 @@
 	root.PersistentFlags().StringVar(&level, "log-level", "info", "debug, info, warn or error")
 	root.PersistentFlags().StringVar(&format, "log-format", "json", "json or console")
 	root.AddCommand(newLab(),
-		&cobra.Command{Use: "run", Short: "Run a dispatcher, told by the ROUTER_ variables", Args: cobra.NoArgs, RunE: run},
+		runCommand,
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "orchiddrift", version()) }},
 	)
 	return root
 }
 
+// profiled runs f, with a CPU profile of it where a file is named.
+func profiled(path string, f func() error) error {
+	if path == "" {
+		return f()
+	}
+	out, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	if err := pprof.StartCPUProfile(out); err != nil {
+		return err
+	}
+	defer pprof.StopCPUProfile()
+	return f()
+}
+
 // version is what the build knows of its source.
 func version() string {
 	info, ok := debug.ReadBuildInfo()
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -24,9 +25,10 @@
 
 // Command starts a dispatcher; the ROUTER_ variables are added.
 type Command struct {
-	Path string
-	Args []string
-	Env  []string
+	Path    string
+	Args    []string
+	Env     []string
+	Profile bool // a CPU profile of each goes beside its log
 }
 
 // Usage is what a dispatcher's processes used.
@@ -111,7 +113,11 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(f.command.Path, f.command.Args...)
+	args := slices.Clone(f.command.Args)
+	if f.command.Profile {
+		args = append(args, "--cpuprofile", filepath.Join(f.dir, fmt.Sprintf("d%d.pprof", p.number)))
+	}
+	cmd := exec.Command(f.command.Path, args...)
 	cmd.Env = append(append(os.Environ(), f.command.Env...), "ROUTER_CONFIG="+f.config(p.number), "ROUTER_STATE="+p.state,
 		fmt.Sprintf("ROUTER_NAME=d%d", p.number), "ROUTER_LISTEN="+f.network.Dispatcher(p.number),
 		"ROUTER_DISCOVERY="+f.network.Agent(p.number))
@@ -219,9 +225,11 @@
 	}
 	switch t.Kind {
 	case scenario.Stall:
+		f.life(p, record.Stalled, "")
 		f.signal(p, syscall.SIGSTOP, false)
 		pause(ctx, seconds(t.For))
 		f.signal(p, syscall.SIGCONT, false)
+		f.life(p, record.Woken, "")
 		return
 	case scenario.Kill:
 		f.signal(p, syscall.SIGKILL, true)
--- a/lab/partner/conn.go
+++ b/lab/partner/conn.go
@@ -15,7 +15,10 @@
 	"orchiddrift/lab/record"
 )
 
-const mostBody = 1 << 20 // of a call
+const (
+	mostBody = 1 << 20 // of a call
+	instant  = 1e-4    // an answer due so soon is given at once
+)
 
 // conn is a connection of a dispatcher. One goroutine reads, so that its end is seen while a call is served by the other.
 type conn struct {
@@ -179,10 +182,12 @@
 		c.rest(r, nil)
 		return false
 	}
-	timer := time.NewTimer(seconds(fate.After))
-	defer timer.Stop()
-	if !c.rest(r, timer.C) {
-		return false
+	if fate.After > instant {
+		timer := time.NewTimer(seconds(fate.After))
+		defer timer.Stop()
+		if !c.rest(r, timer.C) {
+			return false
+		}
 	}
 	switch fate.Way {
 	case behaviour.Break:
--- a/lab/record/record.go
+++ b/lab/record/record.go
@@ -105,6 +105,8 @@
 	Ready   = "ready"
 	Termed  = "told to end"
 	Killed  = "killed"
+	Stalled = "stands still"
+	Woken   = "goes on"
 	Ended   = "ended"   // as it was told to
 	Crashed = "crashed" // it ended and nobody asked
 	OverUse = "over"    // it used more than its limits
