--- a/lab/agent/agent.go
+++ b/lab/agent/agent.go
@@ -65,21 +65,66 @@
 	a := &Agents{world: w, journal: j, clock: clock, addr: addr, stop: make(chan struct{})}
 	a.plan()
 	for i := range w.Dispatchers.Count {
-		ln, err := net.Listen("tcp", network.Agent(i))
+		old, err := a.open(i, network.Agent(i))
+		if err == nil && slices.ContainsFunc(w.Troubles, a.moves(i)) {
+			t := w.Troubles[slices.IndexFunc(w.Troubles, a.moves(i))]
+			if _, err = a.open(i, network.Moved(i)); err == nil {
+				go a.leave(old, t)
+			}
+		}
 		if err != nil {
 			a.Close()
 			return nil, fmt.Errorf("agent: %w", err)
 		}
-		mux := http.NewServeMux()
-		mux.HandleFunc("GET /catalog/members", func(rw http.ResponseWriter, r *http.Request) { a.members(i, rw, r) })
-		mux.HandleFunc("POST /v1/notices", func(rw http.ResponseWriter, r *http.Request) { a.notices(i, rw, r) })
-		s := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-		a.servers = append(a.servers, s)
-		go func() { _ = s.Serve(ln) }() // it ends with Close
 	}
 	return a, nil
 }
 
+// open starts an agent at an address.
+func (a *Agents) open(dispatcher int, addr string) (*door, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /catalog/members", func(rw http.ResponseWriter, r *http.Request) { a.members(dispatcher, rw, r) })
+	mux.HandleFunc("POST /v1/notices", func(rw http.ResponseWriter, r *http.Request) { a.notices(dispatcher, rw, r) })
+	d := &door{ln, &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}}
+	a.servers = append(a.servers, d.server)
+	go func() { _ = d.server.Serve(ln) }() // it ends with Close
+	return d, nil
+}
+
+// door is an agent's address.
+type door struct {
+	ln     net.Listener
+	server *http.Server
+}
+
+// moves finds the trouble that moves a dispatcher's agent.
+func (a *Agents) moves(dispatcher int) func(scenario.Trouble) bool {
+	return func(t scenario.Trouble) bool { return t.Kind == scenario.Move && t.Concerns(dispatcher) }
+}
+
+// leave closes the old address once the agent has moved: it takes no new connection from then on, and closes the open
+// ones a little later.
+func (a *Agents) leave(old *door, t scenario.Trouble) {
+	const lasts = 1500 * time.Millisecond
+	for a.clock.Now() < t.At {
+		select {
+		case <-a.stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	_ = old.ln.Close()
+	select {
+	case <-a.stop:
+	case <-time.After(lasts):
+		_ = old.server.Close()
+	}
+}
+
 // Close ends them.
 func (a *Agents) Close() {
 	close(a.stop)
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -46,6 +46,7 @@
 	journal *record.Journal
 	clock   *loop.Clock
 	network loop.Network
+	known   any // the list, in the platform's form
 	command Command
 	dir     string
 	all     []*process
@@ -74,19 +75,11 @@
 // Start writes each dispatcher's configuration into dir and starts them all; it returns once all are ready.
 func Start(ctx context.Context, w *scenario.World, j *record.Journal, clock *loop.Clock, network loop.Network,
 	known any, command Command, dir, state string) (*Fleet, error) {
-	f := &Fleet{world: w, journal: j, clock: clock, network: network, command: command, dir: dir}
+	f := &Fleet{world: w, journal: j, clock: clock, network: network, known: known, command: command, dir: dir}
 	for i := range w.Dispatchers.Count {
-		d := w.Dispatchers
 		p := &process{number: i, state: filepath.Join(state, fmt.Sprintf("d%d.state", i))}
 		f.all = append(f.all, p)
-		config, err := json.Marshal(map[string]any{"name": fmt.Sprintf("d%d", i), "listen": network.Dispatcher(i),
-			"discovery": network.Agent(i), "seed": fmt.Sprintf("%x", w.Seed*1000+uint64(i)), "known": known,
-			"limits":   map[string]any{"cores": d.Cores, "memory_mb": d.MemoryMB, "sockets": d.Sockets, "disk_mb": d.DiskMB},
-			"settings": settings(w)})
-		if err != nil {
-			return f, err
-		}
-		if err := errors.Join(os.WriteFile(f.config(i), config, 0o600), os.MkdirAll(p.state, 0o700)); err != nil {
+		if err := errors.Join(f.configure(i, network.Agent(i)), os.MkdirAll(p.state, 0o700)); err != nil {
 			return f, err
 		}
 	}
@@ -101,6 +94,19 @@
 	return f, err
 }
 
+// configure writes a dispatcher's configuration.
+func (f *Fleet) configure(i int, discovery string) error {
+	d := f.world.Dispatchers
+	text, err := json.Marshal(map[string]any{"name": fmt.Sprintf("d%d", i), "listen": f.network.Dispatcher(i),
+		"discovery": discovery, "seed": fmt.Sprintf("%x", f.world.Seed*1000+uint64(i)), "known": f.known,
+		"limits":   map[string]any{"cores": d.Cores, "memory_mb": d.MemoryMB, "sockets": d.Sockets, "disk_mb": d.DiskMB},
+		"settings": settings(f.world)})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(f.config(i), text, 0o600)
+}
+
 func (f *Fleet) config(i int) string { return filepath.Join(f.dir, fmt.Sprintf("d%d.json", i)) }
 
 // Log is where a dispatcher's log goes.
@@ -224,6 +230,12 @@
 		return
 	}
 	switch t.Kind {
+	case scenario.Move:
+		if err := f.configure(p.number, f.network.Moved(p.number)); err != nil {
+			f.life(p, record.Crashed, err.Error())
+		}
+		f.signal(p, syscall.SIGHUP, false)
+		return
 	case scenario.Stall:
 		f.life(p, record.Stalled, "")
 		f.signal(p, syscall.SIGSTOP, false)
--- a/lab/loop/loop.go
+++ b/lab/loop/loop.go
@@ -40,6 +40,9 @@
 // Agent is the address of a dispatcher's agent.
 func (n Network) Agent(i int) string { return fmt.Sprintf("127.%d.1.%d:8500", n, i+1) }
 
+// Moved is where a dispatcher's agent is found once it has moved.
+func (n Network) Moved(i int) string { return fmt.Sprintf("127.%d.1.%d:8500", n, i+101) }
+
 // Endpoint is the address of a listener of endpoints.
 func (n Network) Endpoint(listener int) string {
 	const row = 250
--- a/lab/report/html.go
+++ b/lab/report/html.go
@@ -8,6 +8,7 @@
 	"image/color"
 	"io"
 	"math"
+	"slices"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -31,17 +32,17 @@
 func (r *Result) HTML(to io.Writer) error {
 	var pictures []picture
 	s := r.Series
-	add := func(title, unit string, log bool, lines ...line) error {
-		svg, err := r.draw(unit, log, lines)
+	add := func(title, unit string, log bool, dest int, lines ...line) error {
+		svg, err := r.draw(unit, log, dest, lines)
 		if err == nil {
 			pictures = append(pictures, picture{title, template.HTML(svg)}) // drawn here, from numbers
 		}
 		return err
 	}
-	err := add("Notifications by time", "a second", false, line{"offered", s.points(s.Offered)}, line{"delivered", s.points(s.Delivered)},
+	err := add("Notifications by time", "a second", false, all, line{"offered", s.points(s.Offered)}, line{"delivered", s.points(s.Delivered)},
 		line{"of them late", s.points(s.Late)}, line{"refused", s.points(s.Refused)}, line{"ended by a notice", s.points(s.Ended)})
 	if err == nil {
-		err = add("Owed, and pushes out", "notifications", false, line{"owed", s.points(s.Owed)}, line{"pushes out", s.points(s.Out)})
+		err = add("Owed, and pushes out", "notifications", false, all, line{"owed", s.points(s.Owed)}, line{"pushes out", s.points(s.Out)})
 	}
 	if err == nil {
 		var curves []line
@@ -52,12 +53,12 @@
 			}
 			curves = append(curves, line{t.Name, xy})
 		}
-		err = add("Latency from the planned moment, by topic type", "share delivered", true, curves...)
+		err = add("Latency from the planned moment, by topic type", "share delivered", true, all, curves...)
 	}
 	for _, p := range r.Partners {
 		if err == nil {
 			seconds := Series{Step: 1}
-			err = add(fmt.Sprintf("Destination %d (%s): %d calls, %d turned away", p.Dest, p.Kind, p.Calls, p.Full), "calls a second", false,
+			err = add(fmt.Sprintf("Destination %d (%s): %d calls, %d turned away", p.Dest, p.Kind, p.Calls, p.Full), "calls a second", false, p.Dest,
 				line{"calls", seconds.points(p.PerSecond)}, line{"what it can take", seconds.points(p.Capacity)})
 		}
 	}
@@ -89,16 +90,18 @@
 	color.RGBA{204, 121, 167, 255}, color.RGBA{86, 80, 70, 255}, color.RGBA{230, 159, 0, 255}}
 
 const (
+	all    = -1 // destinations: the troubles of each are shown
 	width  = 24 * vg.Centimeter
 	height = 7 * vg.Centimeter
 )
 
-// draw makes an SVG: curves over time with the troubles as bands behind them, or over a logarithm of seconds.
-func (r *Result) draw(unit string, log bool, lines []line) (string, error) {
+// draw makes an SVG: curves over time with the troubles as bands behind them (one destination's, where it is of one), or
+// over a logarithm of seconds.
+func (r *Result) draw(unit string, log bool, dest int, lines []line) (string, error) {
 	p := plot.New()
 	p.Y.Label.Text, p.X.Label.Text = unit, "seconds"
 	p.Y.Min = 0
-	p.Legend.Top = true
+	p.Legend.Top, p.Legend.XOffs = true, vg.Points(-6)
 	p.Add(plotter.NewGrid())
 	top := 0.0
 	for _, l := range lines {
@@ -112,11 +115,14 @@
 	} else {
 		p.X.Min, p.X.Max = 0, r.Ended
 		for _, b := range r.Bands {
+			if dest != all && !slices.Contains(b.Dests, dest) && len(b.Dests) > 0 {
+				continue
+			}
 			band, err := plotter.NewPolygon(plotter.XYs{{X: b.From, Y: 0}, {X: min(b.To, r.Ended), Y: 0}, {X: min(b.To, r.Ended), Y: top}, {X: b.From, Y: top}})
 			if err != nil {
 				return "", err
 			}
-			band.Color, band.LineStyle.Width = color.RGBA{245, 228, 200, 255}, 0
+			band.Color, band.LineStyle.Width = color.NRGBA{230, 159, 0, 40}, 0
 			p.Add(band)
 		}
 	}
@@ -132,7 +138,10 @@
 		p.Add(curve)
 		p.Legend.Add(l.name, curve)
 	}
-	p.Y.Max = max(p.Y.Max, top*1.05, 1e-9)
+	const headroom = 1.4 // for the legend
+	if p.Y.Max = max(top*headroom, 1e-9); log {
+		p.Y.Max = 1
+	}
 	canvas := vgsvg.New(width, height)
 	p.Draw(draw.New(canvas))
 	var b bytes.Buffer
--- a/lab/report/result.go
+++ b/lab/report/result.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -120,9 +121,10 @@
 
 // Band is a trouble on the time axis.
 type Band struct {
-	Kind string  `json:"kind"`
-	From float64 `json:"from"`
-	To   float64 `json:"to"`
+	Kind  string  `json:"kind"`
+	From  float64 `json:"from"`
+	To    float64 `json:"to"`
+	Dests []int   `json:"destinations,omitempty"` // of partners
 }
 
 // Run is what a run left.
@@ -329,8 +331,14 @@
 	r.Series = Series{step, offered.rate(), delivered.rate(), late.rate(), refused.rate(), ended.rate(), owed.level(), out.level()}
 	r.Totals.Owed = int(slices.Max(r.Series.Owed))
 	for _, t := range w.Troubles {
-		r.Bands = append(r.Bands, Band{t.Kind, t.At, max(t.End(), t.At+t.Wait)})
+		if !t.OfPartners() {
+			r.Bands = append(r.Bands, Band{t.Kind, t.At, max(t.End(), t.At+t.Wait), nil})
+		}
+	}
+	for _, f := range w.Faults {
+		r.Bands = append(r.Bands, Band{f.Kind, f.At, max(f.End(), f.At+f.Wait), slices.Sorted(maps.Keys(f.Dests))})
 	}
+	slices.SortStableFunc(r.Bands, func(a, b Band) int { return cmp.Compare(a.From, b.From) })
 	r.Figures = Figures{Benefit: over(sum(earned), sum(asked)), TakenRate: float64(r.Totals.Taken) / min(w.Length, max(run.Ended, 1)),
 		Answer99: answers.at(99), Push50: pushes.at(50), Push99: pushes.at(99), Push999: pushes.at(99.9),
 		Delivered50: deliveries.at(50), Delivered99: deliveries.at(99),
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -158,6 +158,7 @@
 	Restart  = "restart"   // dispatchers are told to end, and come back
 	Stall    = "stall"     // dispatchers stand still
 	ListDown = "list-down" // the list is silent
+	Move     = "move"      // the agent moves: dispatchers are told by a new configuration and SIGHUP
 	Surge    = "surge"     // the load is so many times what it was
 	Hot      = "hot"       // one client process sends so much more, as a factor of the load
 	BusyDisk = "busy-disk" // the dispatchers' folders share a disk that somebody writes to
