--- a/disk/disk.go
+++ b/disk/disk.go
@@ -31,7 +31,7 @@
 // Dir is a folder of the operating system.
 type Dir struct {
 	path string
-	lock *os.File
+	lock *os.File // nil: only to be read
 }
 
 // lockName is the file that one process at a time holds.
@@ -56,8 +56,22 @@
 	return &Dir{path, lock}, nil
 }
 
+// ReadDir opens a folder only to be read, which may be another process's.
+func ReadDir(path string) (*Dir, error) {
+	info, err := os.Stat(path)
+	if err == nil && !info.IsDir() {
+		err = fmt.Errorf("%s is no folder", path)
+	}
+	return &Dir{path: path}, err
+}
+
 // Close lets go of the folder.
-func (d *Dir) Close() error { return d.lock.Close() }
+func (d *Dir) Close() error {
+	if d.lock == nil {
+		return nil
+	}
+	return d.lock.Close()
+}
 
 // List names the files but the lock.
 func (d *Dir) List() ([]string, error) {
@@ -73,10 +87,17 @@
 }
 
 // Create makes an empty file.
-func (d *Dir) Create(name string) (File, error) { return d.open(name, os.O_CREATE|os.O_TRUNC|os.O_RDWR) }
+func (d *Dir) Create(name string) (File, error) {
+	return d.open(name, os.O_CREATE|os.O_TRUNC|os.O_RDWR)
+}
 
 // Open opens one that is there.
-func (d *Dir) Open(name string) (File, error) { return d.open(name, os.O_RDWR) }
+func (d *Dir) Open(name string) (File, error) {
+	if d.lock == nil {
+		return d.open(name, os.O_RDONLY)
+	}
+	return d.open(name, os.O_RDWR)
+}
 
 func (d *Dir) open(name string, flags int) (File, error) {
 	f, err := os.OpenFile(filepath.Join(d.path, name), flags, 0o600)
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -56,6 +56,7 @@
 type process struct {
 	number int
 	state  string
+	turn   sync.Mutex // one trouble at a time
 	lock   sync.Mutex
 	cmd    *exec.Cmd
 	asked  bool // to end
@@ -229,6 +230,8 @@
 	if !pause(ctx, f.clock.Until(t.At)) {
 		return
 	}
+	p.turn.Lock()
+	defer p.turn.Unlock()
 	switch t.Kind {
 	case scenario.Move:
 		if err := f.configure(p.number, f.network.Moved(p.number)); err != nil {
--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"io/fs"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -18,6 +20,7 @@
 	"orchiddrift/lab/fleet"
 	"orchiddrift/lab/loop"
 	"orchiddrift/lab/planted"
+	"orchiddrift/lab/record"
 	"orchiddrift/lab/report"
 	"orchiddrift/lab/rules"
 	"orchiddrift/lab/scenario"
@@ -119,6 +122,43 @@
 	}
 }
 
+// Dispatchers killed at random moments under load, again and again: ORCHIDDRIFT_KILLS=1000 is the long form. Each
+// notification taken on gets its one final answer, and no once-only one takes effect twice.
+func TestKills(t *testing.T) {
+	t.Parallel()
+	const dispatchers, gap = 5, 0.7
+	kills, err := strconv.Atoi(os.Getenv("ORCHIDDRIFT_KILLS"))
+	if err != nil {
+		kills = 40
+	}
+	s := open("calm")
+	s.Dispatchers.Count, s.Load.Rate = dispatchers, 150
+	chance := rand.New(rand.NewPCG(s.Seed, uint64(kills)))
+	for i := range kills {
+		at := 0.3 + gap*(float64(i/dispatchers)+chance.Float64()*0.9)
+		s.Troubles = append(s.Troubles, scenario.Trouble{Kind: scenario.Kill, At: at, Wait: 0.05, Dispatchers: []int{i % dispatchers}})
+		s.Length = max(s.Length, at+1)
+	}
+	r, j, err := lab.Run(context.Background(), s, lab.Options{Command: command("run")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range r.Violations {
+		t.Error(v)
+	}
+	done := 0
+	for _, l := range j.Lives {
+		if l.What == record.Killed {
+			done++
+		}
+	}
+	if done != kills || r.Totals.Delivered*3 < r.Totals.Planned {
+		t.Errorf("%d kills of %d, %d delivered of %d", done, kills, r.Totals.Delivered, r.Totals.Planned)
+	}
+	t.Logf("%d kills in %.0f s: %d taken on, %d delivered, %d given up, %d handed back, %d pushes", done, r.Ended, r.Totals.Taken,
+		r.Totals.Delivered, r.Totals.GivenUp, r.Totals.HandedBack, r.Totals.Pushes)
+}
+
 // What does not come up is told in one line, and leaves nothing behind.
 func TestBadStart(t *testing.T) {
 	s := open("calm")
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -81,6 +81,7 @@
 type Options struct {
 	Limit int  // bytes that all files together may take, in whole blocks
 	Sync  bool // what is written is on the disk when Write returns
+	Read  bool // only read: the folder stays as it is
 }
 
 // Open reads the folder, and returns what is still owed in the order it was taken. A push that was out when the process
@@ -91,13 +92,16 @@
 	fail := func(err error) (*Ledger, []Owed, Report, error) {
 		return nil, nil, report, fmt.Errorf("ledger: %w", err)
 	}
-	before, err := takeover(folder)
-	if err != nil {
-		return fail(err)
+	var before []byte
+	var err error
+	if !o.Read {
+		if before, err = takeover(folder); err != nil {
+			return fail(err)
+		}
 	}
 	file, count := size(o.Limit)
 	l.room = file - seglog.Head
-	l.log, report.Report, err = seglog.Open(folder, seglog.Options{Segment: file, Files: count, Sync: o.Sync},
+	l.log, report.Report, err = seglog.Open(folder, seglog.Options{Segment: file, Files: count, Sync: o.Sync, Read: o.Read},
 		func(segment int, b []byte) {
 			r, err := decode(b)
 			if err != nil || r.Kind != Taken && r.Kind != Anew && l.owed[r.ID] == nil {
@@ -110,7 +114,9 @@
 	if err != nil {
 		return fail(err)
 	}
-	l.reserve() // a disk without room takes nothing new on, but what is owed goes on
+	if !o.Read {
+		l.reserve() // a disk without room takes nothing new on, but what is owed goes on
+	}
 	if before != nil {
 		if report.TakenOver, err = l.takeOver(folder, before); err != nil {
 			return fail(err)
@@ -313,6 +319,17 @@
 	return nil
 }
 
+// Compact writes all that is owed anew, gives the room of the rest back to the disk, and keeps the reserve.
+func (l *Ledger) Compact() error {
+	for last := l.log.Newest(); l.log.Used() > 1 && l.log.Oldest() < last; {
+		if _, err := l.step(most); err != nil {
+			return fmt.Errorf("ledger: %w", err)
+		}
+	}
+	l.log.Trim(reserved)
+	return nil
+}
+
 // Moved is how many bytes were written anew so far.
 func (l *Ledger) Moved() int { return l.moved }
 
--- a/seglog/seglog.go
+++ b/seglog/seglog.go
@@ -83,6 +83,7 @@
 	Segment int  // bytes of each file
 	Files   int  // at most
 	Sync    bool // records are on the disk when Append returns
+	Read    bool // only read: files stay as they are, and nothing is appended
 }
 
 // Open reads the segments, oldest first, and gives each record to each with its segment's number; damaged is called where
@@ -115,7 +116,7 @@
 			return nil, Report{}, fmt.Errorf("%s: %w", name, err)
 		case s.number > 0:
 			l.used = append(l.used, s)
-		case s.size == l.size:
+		case s.size == l.size || o.Read:
 			l.free = append(l.free, s)
 		default: // never made whole, or of another size
 			l.remove(s)
@@ -398,6 +399,14 @@
 // Most is how many files there may be.
 func (l *Log) Most() int { return l.most }
 
+// Trim removes free files beyond so many.
+func (l *Log) Trim(keep int) {
+	for len(l.free) > keep {
+		l.remove(l.free[0])
+		l.free = l.free[1:]
+	}
+}
+
 // Close closes the files.
 func (l *Log) Close() error {
 	var err error
