--- a/ledger/crash_test.go
+++ b/ledger/crash_test.go
@@ -354,3 +354,48 @@
 	// b may have run: true
 	// c may have run: false
 }
+
+// The old single file is taken over whole, with its torn tail dropped; cut short at any write, it is done anew.
+func TestTakeover(t *testing.T) {
+	text := ledger.OldFile(taken("over", 5), taken("out", 900), taken("turned", 9), taken("ended", 0),
+		ledger.Record{Kind: ledger.Over, ID: "over"}, ledger.Record{Kind: ledger.Began, ID: "out", At: 1004, To: "e3"},
+		ledger.Record{Kind: ledger.Began, ID: "turned", At: 1004, To: "e3"}, ledger.Record{Kind: ledger.NotRun, ID: "turned"},
+		ledger.Record{Kind: ledger.Noticed, ID: "ended", Outcome: "handed_back", RetryIn: 0.5})
+	start := func() *faulty.Folder {
+		f := faulty.New()
+		f.Put("ledger", append(text[:len(text):len(text)], 40, 0, 0, 0, 1, 2))
+		return f
+	}
+	const want = "out 1 1004 false turned 1 0 false ended 0 0 true "
+	found := func(f *faulty.Folder) string {
+		_, owed, _, err := ledger.Open(f, ledger.Options{Limit: small})
+		if err != nil {
+			return err.Error()
+		}
+		s := ""
+		for _, o := range owed {
+			s += fmt.Sprint(o.Message.ID, " ", o.Message.Pushes, " ", o.Message.RanAt, " ", o.Notice != nil, " ")
+		}
+		return s
+	}
+	whole := start()
+	if got := found(whole); got != want {
+		t.Fatal(got)
+	}
+	if whole.Bytes("ledger") != nil {
+		t.Error("the old file is still there")
+	}
+	for at := 1; at <= whole.Writes; at++ {
+		for _, keep := range []int{0, 9, 1 << 20} {
+			f := start()
+			f.CrashAt, f.Keep = at, keep
+			_ = found(f)
+			if got := found(f.Restart()); got != want {
+				t.Errorf("crash at write %d, %d kept: %s", at, keep, got)
+			}
+			if got := found(f.Restart().Restart()); got != want {
+				t.Errorf("second start after a crash at write %d: %s", at, got)
+			}
+		}
+	}
+}
