--- a/cmd/orchiddrift/ledger.go
+++ b/cmd/orchiddrift/ledger.go
@@ -71,7 +71,7 @@
 				err = show(cmd.OutOrStdout(), r, owed)
 			}
 			if err == nil && fails && len(r.Damaged) > 0 {
-				err = errors.New("records are damaged: what is owed counts as what may have run; give the rest a restart, and look at the disk")
+				err = errors.New("records are damaged: what can be read is kept, and what was owed before them counts as what may have run; look at the disk")
 			}
 			return failed(err)
 		}
--- a/cmd/orchiddrift/main_test.go
+++ b/cmd/orchiddrift/main_test.go
@@ -18,11 +18,18 @@
 
 // TestMain lets the test binary stand in for the program.
 func TestMain(m *testing.M) {
-	if os.Getenv("ORCHIDDRIFT_TEST") == "run" {
+	switch os.Getenv("ORCHIDDRIFT_TEST") {
+	case "run":
 		main()
-		return
+	case "args": // and, started by itself again as a dispatcher, for what its own arguments say
+		args := os.Args[1:]
+		if len(args) == 0 {
+			args = strings.Split(os.Getenv("ORCHIDDRIFT_ARGS"), "\n")
+		}
+		os.Exit(execute(args))
+	default:
+		os.Exit(m.Run())
 	}
-	os.Exit(m.Run())
 }
 
 const partner = `{"balancers":1,"kinds":["small"],"azs":["dc"],"tick-ms":5,"membership-mode":"push",
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -133,7 +133,7 @@
 	}
 	moved := agent.Move(c.Discovery)
 	log.Info().Str("discovery", c.Discovery).Bool("moved", moved).Msg("configuration taken")
-	if c.Name != old.Name || c.Listen != old.Listen || c.state != old.state || c.Limits != old.Limits ||
+	if c.Name != old.Name || c.Listen != old.Listen || c.state != old.state || c.Limits != old.Limits || c.Ledger != old.Ledger ||
 		!bytes.Equal(c.Settings, old.Settings) {
 		log.Warn().Msg("configuration changed beyond discovery: that needs a restart")
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -33,10 +33,7 @@
 	unwritten bool // the last write failed, and the log has said so
 }
 
-const (
-	mostEvents = 256      // taken in before their records are written in one go
-	mostBytes  = 24 << 10 // of bodies in one go
-)
+const mostEvents = 256 // taken in before their records are written in one go
 
 // Run takes in events and lets notifications go as their turns come, until the gateway has finished or stop
 // is closed.
@@ -92,7 +89,7 @@
 					bytes += len(x.Message.Body)
 				}
 			}
-			if bytes > mostBytes && n > 0 {
+			if bytes > r.Ledger.Group() && n > 0 {
 				break
 			}
 			records = append(records, list...)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -196,6 +196,12 @@
 	return l.room / max(1, n)
 }
 
+// Group is how many bytes of records are best written in one go: so many surely fit a segment.
+func (l *Ledger) Group() int {
+	const part = 3 // of a segment
+	return l.room / part
+}
+
 // Write appends records in one go. Takings among them need files in reserve, ends do not: where the disk has no room they
 // use those.
 func (l *Ledger) Write(records ...Record) error {
