Configuration: applications' files in TOML, checked by named rules before they are used

Cause: with an unknown repeat kind for purchases the dispatcher starts and may push them again; a misspelt key is dropped in silence; one error is told at a time.

Includes, origins, init, schema and the sidecar are left.

--- a/cmd/orchiddrift/main.go
+++ b/cmd/orchiddrift/main.go
@@ -83,7 +83,7 @@
 	}
 	root.PersistentFlags().StringVar(&level, "log-level", "info", "debug, info, warn or error")
 	root.PersistentFlags().StringVar(&format, "log-format", "json", "json or console")
-	root.AddCommand(newLab(), newLedger(),
+	root.AddCommand(newLab(), newLedger(), newConfig(),
 		runCommand,
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "orchiddrift", version()) }},
