Ledger: syncs and files that cannot be made shown; clients of the laboratory have connections of their own

Need: what sync promises was shown by no test, nor a folder in which no file can be made; all client processes shared connections.

Change: the faulty disk fails syncs; a test of one sync for a group, of a failed one, and of takings refused while ends go on where no file can be made. Each client process of the laboratory connects by itself.

--- a/disk/faulty/faulty.go
+++ b/disk/faulty/faulty.go
@@ -21,6 +21,8 @@
 	Room     int   // bytes that files may take in all; below 0: any
 	Fail     error // of each write, where it is set
 	FailMake error // of each create and remove
+	FailSync error // of each sync
+	Syncs    int   // so far
 	CrashAt  int   // the write, counted from 1, with which the process ends; 0: never
 	Keep     int   // bytes of that write that are there afterwards
 	Writes   int   // so far
@@ -160,5 +162,10 @@
 }
 
 func (f *file) Size() (int64, error) { return int64(len(f.b)), f.folder.alive() }
-func (f *file) Sync() error          { return errors.Join(f.folder.alive(), f.folder.Fail) }
 func (f *file) Close() error         { return nil }
+
+// Sync counts, and fails as told.
+func (f *file) Sync() error {
+	f.folder.Syncs++
+	return errors.Join(f.folder.alive(), f.folder.FailSync)
+}
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -39,7 +39,7 @@
 	Arrivals []scenario.Arrival
 	Front    Front
 	lock     sync.Mutex
-	clients  map[string]*fasthttp.HostClient
+	clients  map[way]*fasthttp.HostClient
 	keys     map[string][]func() // of ordered keys: what waits for its turn
 	late     *hdrhistogram.Histogram
 	handed   atomic.Int64
@@ -70,7 +70,7 @@
 
 // Run hands in until the plan or ctx ends, and returns once the last answer is there.
 func (l *Load) Run(ctx context.Context) {
-	l.clients, l.keys = map[string]*fasthttp.HostClient{}, map[string][]func(){}
+	l.clients, l.keys = map[way]*fasthttp.HostClient{}, map[string][]func(){}
 	const most, digits = 60_000_000, 3 // microseconds
 	l.late = hdrhistogram.New(1, most, digits)
 	l.body = make([]byte, l.World.Load.Body)
@@ -176,7 +176,7 @@
 			Tenant: l.World.Tenants[a.Tenant].Name, Dest: a.Dest, Key: keyOf(a), Dispatcher: target.Dispatcher,
 			Planned: planned, Sent: l.Clock.Now(), Until: until}
 		l.Journal.HandIn(h)
-		status, wait, why := l.post(h, topic, target, again)
+		status, wait, why := l.post(h, topic, target, a.Client, again)
 		l.Journal.Change(func() {
 			h.Status, h.RetryAfter, h.Why, h.Answered = status, wait, why, l.Clock.Now()
 		})
@@ -214,7 +214,7 @@
 )
 
 // post sends one hand-in and tells its answer, or why there is none.
-func (l *Load) post(h *record.HandIn, topic scenario.Topic, to Target, again string) (int, float64, string) {
+func (l *Load) post(h *record.HandIn, topic scenario.Topic, to Target, from int, again string) (int, float64, string) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -236,7 +236,7 @@
 		req.Header.Set("X-Again", again)
 	}
 	req.SetBodyRaw(l.body)
-	client := l.client(to.Addr)
+	client := l.client(way{from, to.Addr})
 	deadline := time.Now().Add(answerIn)
 	err := client.DoDeadline(req, resp, deadline)
 	if errors.Is(err, fasthttp.ErrConnectionClosed) || errors.Is(err, fasthttp.ErrNoFreeConns) {
@@ -256,15 +256,21 @@
 
 const ms = 1000
 
-// client is the connections of all client processes to an address.
-func (l *Load) client(addr string) *fasthttp.HostClient {
+// way is from a client process to an address.
+type way struct {
+	client int
+	addr   string
+}
+
+// client is the connections on a way: as many as have a request open, and those that idle.
+func (l *Load) client(w way) *fasthttp.HostClient {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	c := l.clients[addr]
+	c := l.clients[w]
 	if c == nil {
-		c = &fasthttp.HostClient{Addr: addr, MaxConns: 4096, MaxIdleConnDuration: idleFor, MaxIdemponentCallAttempts: 1,
+		c = &fasthttp.HostClient{Addr: w.addr, MaxConns: 4096, MaxIdleConnDuration: idleFor, MaxIdemponentCallAttempts: 1,
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
-		l.clients[addr] = c
+		l.clients[w] = c
 	}
 	return c
 }
--- a/ledger/crash_test.go
+++ b/ledger/crash_test.go
@@ -399,3 +399,43 @@
 		}
 	}
 }
+
+// With sync a write is told as done once it is on the disk, one sync for all records in it; where that fails it does not
+// count. Where no file can be made, what is there goes on until takings need more.
+func TestSyncAndMake(t *testing.T) {
+	f := faulty.New()
+	l, _, _, err := ledger.Open(f, ledger.Options{Limit: small, Sync: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := f.Syncs
+	if err := l.Write(taken("a", 5), taken("b", 5)); err != nil || f.Syncs == before {
+		t.Fatal(err, f.Syncs-before)
+	}
+	_ = l.Write(ledger.Record{Kind: ledger.Over, ID: "nobody"}) // and a file is made for the reserve
+	before = f.Syncs
+	if err := l.Write(ledger.Record{Kind: ledger.Began, ID: "a", At: 1, To: "e"}, taken("c", 5)); err != nil || f.Syncs != before+1 {
+		t.Fatal(err, f.Syncs-before)
+	}
+	f.FailSync = syscall.EIO
+	if err := l.Write(taken("d", 5)); !errors.Is(err, syscall.EIO) {
+		t.Fatal(err)
+	}
+	f.FailSync, f.FailMake = nil, syscall.EACCES
+	took := 0
+	for i := 0; i < 1000 && err == nil; i++ {
+		if err = l.Write(taken(fmt.Sprint("n", i), 500)); err == nil {
+			took++
+		}
+	}
+	if !errors.Is(err, syscall.EACCES) || took == 0 {
+		t.Fatal(took, err)
+	}
+	if err := l.Write(ledger.Record{Kind: ledger.Over, ID: "b"}); err != nil {
+		t.Fatal("an end was refused:", err)
+	}
+	_, owed, _, err := ledger.Open(f.Restart(), ledger.Options{Limit: small})
+	if err != nil || len(owed) != took+2 || owed[0].Message.ID != "a" || owed[1].Message.ID != "c" {
+		t.Fatal(err, len(owed), took)
+	}
+}
