A call waits no longer than it tells its endpoint

Cause: X-Budget is told in whole milliseconds, rounded down, and the answer was waited for up to a millisecond longer.

Change: the wait is cut to what is told.

--- a/push/call.go
+++ b/push/call.go
@@ -53,6 +53,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
+	wait = math.Floor(wait*1000) / 1000 // as it is told: an answer after that counts for nothing at the endpoint
 	encode(req, c.addr, list, wait)
 	end, reusable := c.exchange(req, resp, len(list) == 1, time.Now().Add(seconds(wait)))
 	if !reusable {
@@ -79,7 +80,7 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetHost(addr)
 	req.Header.SetNoDefaultContentType(true)
-	req.Header.Set("X-Budget", strconv.Itoa(int(wait*1000))+"m")
+	req.Header.Set("X-Budget", strconv.Itoa(int(math.Round(wait*1000)))+"m")
 	if len(list) == 1 {
 		req.SetRequestURI("/hook")
 		req.Header.Set("X-Call-Id", list[0].ID)
