Laboratory: no noise for a disk nobody writes to; one time for ending a process

Found on reading the change again: each run made 1 MB of random bytes that only busy-disk uses; the time in which a process is given to end was handed to its only user by each caller; a join of one error.

Change: those three, behaviour as it was.

--- a/cmd/orchiddrift/config.go
+++ b/cmd/orchiddrift/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"path/filepath"
@@ -89,7 +88,7 @@
 				for _, r := range appconfig.Rules() {
 					fmt.Fprintf(t, "%s\t%s\t%s\n", r.ID, r.What, r.Remedy)
 				}
-				return failed(errors.Join(t.Flush()))
+				return failed(t.Flush())
 			}},
 	)
 	return c
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -252,19 +252,19 @@
 	case scenario.Restart:
 		f.signal(p, syscall.SIGTERM, true)
 		f.life(p, record.Termed, "")
-		f.ending(p, endIn)
+		f.ending(p)
 	}
 	if !pause(ctx, seconds(t.Wait)) {
 		return
 	}
-	f.ending(p, endIn)
+	f.ending(p)
 	if err := f.start(ctx, p); err != nil && ctx.Err() == nil {
 		f.life(p, record.Crashed, err.Error())
 	}
 }
 
-// ending waits for a process that was told to end, and kills it after so long.
-func (f *Fleet) ending(p *process, within time.Duration) {
+// ending waits for a process that was told to end, and kills it where it does not in time.
+func (f *Fleet) ending(p *process) {
 	p.lock.Lock()
 	ended := p.ended
 	p.lock.Unlock()
@@ -273,7 +273,7 @@
 	}
 	select {
 	case <-ended:
-	case <-time.After(within):
+	case <-time.After(endIn):
 		f.signal(p, syscall.SIGKILL, true)
 		<-ended
 	}
@@ -286,7 +286,7 @@
 		f.signal(p, syscall.SIGTERM, true)
 	}
 	for _, p := range f.all {
-		f.ending(p, endIn)
+		f.ending(p)
 	}
 	f.done.Wait()
 }
--- a/lab/lab.go
+++ b/lab/lab.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"orchiddrift/lab/agent"
@@ -183,6 +184,9 @@
 // busyDisk writes to the disk of the dispatchers' folders, and syncs, while a trouble says so.
 func busyDisk(ctx context.Context, w *scenario.World, clock *loop.Clock, dir string) {
 	const size, block = 32 << 20, 1 << 20
+	if !slices.ContainsFunc(w.Troubles, func(t scenario.Trouble) bool { return t.Kind == scenario.BusyDisk }) {
+		return // the noise below is worth making only for one that does
+	}
 	noise := make([]byte, block)
 	chance := rand.New(rand.NewPCG(w.Seed, 0))
 	for i := range noise {
