A refusal that closes its connection leaves its endpoint alone; repeats start only while known

Every idle connection was kept for a second by each of 279 dispatchers, which fills a small endpoint; the refusals this brings were taken for a limit passed: the whole destination stopped for half a second, paced down by the share refused (decide.learn, case Throttled; closes did not see them, as it looks at breaks only). Ruled out: limits (4,500 refusals bear a report or a wait), dials (none failed), room in the ledger, late answers.

Change: push ends such a call as "crowded". The module leaves that endpoint alone for half a second and a random part, counts no limit and no outage, and marks its kind's connections as scarce. Where they are scarce and this dispatcher's calls come farther apart than its part of the idle time, an idle connection is closed at once.

It was placed at 11.606, while known, and its connection took a second to come up. Ruled out: another dispatcher (all lines are n147's), the module's own window (6.66 s when placed). Change: an answer Push tells within which time it is to start (Answer.Within); gateway.connected gives back what is later.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -123,6 +123,10 @@
 	} else {
 		h.call = &call{end: end, gate: g, at: now, size: 1, riders: 1}
 		end.calls = append(end.calls, h.call)
+		if end.called > 0 {
+			end.apart = last(end.apart, now-end.called, kept)
+		}
+		end.called = now
 		g.out++
 		m.out++
 		g.allowance--
@@ -135,7 +139,7 @@
 	wait := m.patience(g, end, h)
 	h.hurried = h.until-now < wait
 	return Answer{Do: Push, Ntf: h.ID, Endpoint: e.ID, Timeout: min(wait, h.until-now),
-		Fresh: h.topic.Repeat == OnceOnly && m.scarce[e.Kind] > now} // a kept connection may break under it
+		Within: m.knownUntil(h) - now, Fresh: h.topic.Repeat == OnceOnly && m.scarce[e.Kind] > now} // a kept connection may break under it
 }
 
 // After takes in how a push ended and tells what becomes of its notification.
@@ -477,6 +481,11 @@
 		}
 	case Throttled:
 		end.heard, end.rank = now, -m.rng.float()
+		if o.Crowded { // no limit was passed: it is the endpoint that has no room, for connections of anybody's
+			m.scarce[end.kind] = now + m.pushes.IdleClose
+			end.aside = now + fullStop*(1+m.rng.float())
+			return
+		}
 		if g.limit == 0 && o.Wait == 0 { // full for what is out: what stays out is what it takes at once
 			end.most = cmp.Or(easing*float64(len(end.calls)), never)
 		}
@@ -569,8 +578,16 @@
 	if now >= h.until-m.pushes.Tick || h.pushes >= m.pushes.Most || h.shed {
 		return true
 	}
-	forgotten := now > h.mayRun+h.topic.Memory-m.pushes.Tick
-	return h.mayRun != never && (h.topic.Repeat == OnceOnly || h.topic.Repeat == Collapsible && forgotten)
+	return h.mayRun != never && h.topic.Repeat == OnceOnly || now > m.knownUntil(h)
+}
+
+// knownUntil is when a push that may have run would no longer be known for a repeat: none may start later, also
+// none that waited for its connection until then.
+func (m *Module) knownUntil(h *held) float64 {
+	if h.topic.Repeat != Collapsible {
+		return never
+	}
+	return h.mayRun + h.topic.Memory - m.pushes.Tick
 }
 
 // giveUp ends one: throttled where it may safely come again, else expired. Its key waits until that is heard.
@@ -708,11 +725,14 @@
 
 // closes tells when idle connections are to be closed. An endpoint may take only so many, and many
 // dispatchers' idle ones would shut the others out, or break unseen. Where endpoints of its kind lately
-// refused or broke one, the settings' idle time is divided among the dispatchers; else a second at least.
+// refused or broke one, the settings' idle time is divided among the dispatchers, and where this one's calls come
+// farther apart than that a connection kept would only take another's place; else it is a second at least.
 func (m *Module) closes(now float64, i idle) float64 {
 	keep := m.even(m.pushes.IdleClose)
 	if m.scarce[i.end.kind] <= now {
 		keep = max(keep, idleKept)
+	} else if keep < mean(i.end.apart, firstGap) {
+		keep = 0
 	}
 	return i.since + keep
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -12,6 +12,7 @@
 	full    = decide.Outcome{Result: decide.Throttled}
 	failed  = decide.Outcome{Result: decide.Failed}
 	late    = decide.Outcome{Result: decide.TimedOut, Latency: 4}
+	crowded = decide.Outcome{Result: decide.Throttled, Crowded: true}
 	refused = decide.Outcome{Result: decide.NotConnected}
 	reset   = decide.Outcome{Result: decide.Reset}
 )
@@ -457,6 +458,48 @@
 	// 2.50  close idle connections to B
 }
 
+// Found on the fleet trial: hundreds of dispatchers' idle connections fill an endpoint, which turns the next away with
+// their connections. That is no limit and no outage: the endpoint alone is left for half a second and a random part, the
+// destination's others get its pushes, no pace holds them back after, however often it happens, and what is idle goes at
+// once, since this dispatcher comes back later than its part of the idle time.
+func Example_crowded() {
+	d := newDesk(12, 60, "A", "A'")
+	d.closing = true
+	d.take("reading", "A1", "A2")
+	d.at(0)
+	d.ended("A", crowded, "A1")
+	d.ended("A'", ok, "A2")
+	d.at(0.01)
+	d.ended("A'", crowded, "A1")
+	d.at(0.4)
+	for i := 1; i < 5; i++ {
+		d.at(1.1 * float64(i))
+		d.ended("A", crowded, "A1")
+		d.ended("A'", crowded, "A1")
+		d.at(1.1*float64(i) + 0.05)
+	}
+	d.take("reading", "A3", "A4", "A5")
+	d.at(5.5)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.00  push A2 to A'
+	// 0.01  push A1 to A'
+	// 1.10  close idle connections to A
+	// 1.10  close idle connections to A'
+	// 1.10  push A1 to A'
+	// 1.15  close idle connections to A'
+	// 1.15  push A1 to A
+	// 2.25  close idle connections to A
+	// 2.25  push A1 to A'
+	// 3.35  close idle connections to A'
+	// 3.35  push A1 to A
+	// 4.45  close idle connections to A
+	// 4.45  push A1 to A'
+	// 5.50  push A3 to A
+	// 5.50  push A4 to A
+	// 5.50  push A5 to A'
+}
+
 // Found on grown hobart-relay: answers were lost, and two slots waited for them. The last slot waits five answer
 // times at most, which an endpoint of few answers takes from all.
 func Example_lastSlot() {
--- a/decide/state.go
+++ b/decide/state.go
@@ -133,6 +133,8 @@
 	broke  float64 // first push that broke since then
 	gaps   []float64
 	lasted []float64
+	called float64   // start of the last call
+	apart  []float64 // and how far apart the last ones were
 }
 
 // sweep lets go, after each news of the list, of what no decision can need any more: endpoints and destinations no
--- a/decide/types.go
+++ b/decide/types.go
@@ -66,6 +66,7 @@
 	Endpoint string
 	Latency  float64
 	Wait     float64 // the wait told, 0 for none
+	Crowded  bool    // Throttled: the endpoint holds no more connections, and closed this one
 	NoSlot   bool    // Moot: every slot was taken
 	Unsent   bool    // Moot: it was handed back before a byte was sent, and counts as no push
 	Spent    bool    // Moot: no further push of it will be taken
@@ -98,7 +99,8 @@
 	Ntf      string
 	Endpoint string
 	Timeout  float64
-	Fresh    bool // Push: on a new connection
+	Within   float64 // Push: it is to start within this, or to be given back; +Inf for no bound of its own
+	Fresh    bool    // Push: on a new connection
 	RetryIn  float64
 	Push     int
 	Body     string
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,8 +57,9 @@
 type item struct {
 	message *message.Message
 	call    *Call
-	ending  bool // its notice is out
-	heard   bool // and answered, but its push is still out in a call with others
+	ending  bool    // its notice is out
+	heard   bool    // and answered, but its push is still out in a call with others
+	start   float64 // its push may start until then
 }
 
 // New returns a gateway with nothing in hand.
@@ -211,6 +212,7 @@
 // before leaves it.
 func (g *Gateway) join(now float64, a decide.Answer) {
 	it := g.hand[a.Ntf]
+	it.start = now + a.Within
 	until := now + a.Timeout
 	for i := len(g.forming) - 1; i >= 0; i-- {
 		c := g.forming[i]
@@ -273,7 +275,8 @@
 }
 
 // connected sends a call on its new connection. If its destination told a wait meanwhile, or the endpoint is
-// no longer listed as ready, the connection is kept and the module asked again.
+// no longer listed as ready, the connection is kept and the module asked again; so for a message whose time to start has
+// passed: a connection may take a second to come up, and what may have run is known for a repeat only so long.
 func (g *Gateway) connected(now float64, e Connected) {
 	c := e.Call
 	c.Items = slices.DeleteFunc(c.Items, func(m *message.Message) bool { return !g.on(c, m) })
@@ -281,6 +284,12 @@
 		g.ended(now, c, push.All(len(c.Items), e.End))
 		return
 	}
+	for _, m := range c.Items {
+		if g.hand[m.ID].start < now {
+			g.end(now, c, []*message.Message{m}, push.All(1, push.GivenBack))
+		}
+	}
+	c.Items = slices.DeleteFunc(c.Items, func(m *message.Message) bool { return !g.on(c, m) })
 	listed, _ := g.dir.Find(c.Endpoint.Dest, c.Endpoint.ID)
 	if listed.Stage != directory.Ready || g.waits[c.Endpoint.Dest] > c.placed || g.stopped || len(c.Items) == 0 {
 		g.keep(c.Endpoint, e.Conn)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -31,6 +31,7 @@
 	b := &bench{now: 1000, calls: map[string]*gateway.Call{}, room: true, ln: ln}
 	topics := []decide.Topic{
 		{Name: "reading", Repeat: decide.Repeatable, Group: "all", Objective: 2, TTL: 20, Benefit: 1},
+		{Name: "tally", Repeat: decide.Collapsible, Memory: 5, Group: "all", Objective: 2, TTL: 20, Benefit: 1},
 		{Name: "order", Repeat: decide.OnceOnly, Group: "all", Objective: 4, TTL: 20, Benefit: 3, Ordered: true}}
 	dir := directory.New()
 	for _, e := range ends {
@@ -214,6 +215,35 @@
 	// 2.00  begin A1+A2 to A within 2.50, keep began A1, began A2
 }
 
+// Found on the fleet trial: a push that may have run, its repeat placed while that was still known, and a connection that
+// came up a second later. It is not sent any more, but given up; the connection is kept for what shared the call.
+func Example_knownNoMore() {
+	b := newBench("A")
+	defer b.ln.Close()
+	b.take("tally", "A1")
+	b.at(0)
+	b.open("A1")
+	b.now += 2
+	b.end("A1", push.All(1, push.Silent))
+	b.take("reading", "A2")
+	b.at(4.5)
+	b.now += 1.001
+	b.open("A2")
+	b.at(5.6)
+	// Output:
+	// 0.00  accept A1
+	// 0.00  dial A for A1 within 1.50
+	// 0.00  nothing to wait for
+	// 0.00  begin A1 to A within 2.50, keep began A1
+	// 2.00  keep mayrun A1
+	// 2.00  accept A2
+	// 4.50  dial A for A1+A2 within 1.50
+	// 5.50  keep notrun A1
+	// 5.50  keep noticed A1
+	// 5.50  notify A1 handed_back 1.00
+	// 5.50  begin A2 to A within 1.50, keep began A2
+}
+
 // Two large messages do not fit one call: the second goes with the next turn, and has used no push.
 func Example_largeBodies() {
 	b := newBench("A")
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -145,6 +145,7 @@
 			r.Tell(Connected{e.Call, conn, end})
 		}()
 	case Begin:
+		r.trace(e.Call, "push")
 		ok := written || !slices.ContainsFunc(e.Records, func(x ledger.Record) bool { return unkept[x.ID] }) && r.write(e.Records...)
 		if !ok {
 			e.Call.Conn.Close()
@@ -174,10 +175,22 @@
 	return err == nil
 }
 
+// trace follows messages by their ids through their pushes, delivered ones too, where the log's level asks for it.
+func (r *Runner) trace(c *Call, text string) {
+	if r.Log.GetLevel() > zerolog.DebugLevel {
+		return
+	}
+	for _, m := range c.Items {
+		r.Log.Debug().Str("ntf", m.ID).Str("topic", m.Topic).Str("dest", m.Dest).Str("endpoint", c.Endpoint.ID).
+			Float64("since_placed", r.Clock()-c.placed).Msg(text)
+	}
+}
+
 // log writes the lines that on-call staff read.
 func (r *Runner) log(e Event) {
 	switch e := e.(type) {
 	case Ended:
+		r.trace(e.Call, "push ended")
 		for i, m := range e.Call.Items {
 			if end := e.Answer.Ends[i]; end != push.Done {
 				r.Log.Info().Str("ntf", m.ID).Str("topic", m.Topic).Str("dest", m.Dest).
--- a/push/conn.go
+++ b/push/conn.go
@@ -152,6 +152,9 @@
 		if len(resp.Header.Peek("X-Over-Slots")) > 0 {
 			return OverSlots
 		}
+		if resp.ConnectionClose() && len(resp.Header.Peek("Retry-After")) == 0 {
+			return Crowded
+		}
 		return TurnedAway
 	case fasthttp.StatusGatewayTimeout:
 		return Spent
--- a/push/end.go
+++ b/push/end.go
@@ -10,6 +10,7 @@
 	Done         End = iota // answered as delivered
 	Erred                   // answered with an error
 	TurnedAway              // turned away unseen, perhaps told to wait
+	Crowded                 // turned away with its connection: the endpoint holds no more of them
 	OverSlots               // not sent: all slots were taken
 	Void                    // not sent: the message is over
 	Spent                   // not sent: the message has had all its pushes
@@ -35,6 +36,7 @@
 	Done:         {"done", decide.Delivered, true},
 	Erred:        {"erred", decide.Failed, false},
 	TurnedAway:   {"turned away", decide.Throttled, false},
+	Crowded:      {"crowded", decide.Throttled, false},
 	OverSlots:    {"over slots", decide.Moot, false},
 	Void:         {"void", decide.Moot, true},
 	Spent:        {"spent", decide.Moot, false},
@@ -56,7 +58,7 @@
 
 // Outcome gives the module's outcome of a push that ended so.
 func (e End) Outcome() decide.Outcome {
-	return decide.Outcome{Result: ends[e].result, Over: ends[e].over, NoSlot: e == OverSlots,
+	return decide.Outcome{Result: ends[e].result, Over: ends[e].over, NoSlot: e == OverSlots, Crowded: e == Crowded,
 		Unsent: e == GivenBack, Spent: e == Spent || e == Unusable}
 }
 
--- a/push/push_test.go
+++ b/push/push_test.go
@@ -82,6 +82,8 @@
 		"HTTP/1.1 429 Too Many Requests\nRetry-After: 0.75\nContent-Length: 0\n\n",
 		"HTTP/1.1 429 Too Many Requests\nRetry-After: soon\nContent-Length: 0\n\n",
 		"HTTP/1.1 503 Service Unavailable\nContent-Length: 0\n\n",
+		"HTTP/1.1 503 Service Unavailable\nConnection: close\nContent-Length: 0\n\n",
+		"HTTP/1.1 503 Service Unavailable\nConnection: close\nRetry-After: 0.3\nContent-Length: 0\n\n",
 		"HTTP/1.1 503 Service Unavailable\nX-Over-Slots: 1\nContent-Length: 0\n\n",
 		"HTTP/1.1 504 Gateway Timeout\nContent-Length: 0\n\n",
 		"HTTP/1.1 410 Gone\nContent-Length: 0\n\n",
@@ -104,6 +106,8 @@
 	// [turned away] 0.75 false 0 0 true
 	// [turned away] 0 false 0 0 true
 	// [turned away] 0 false 0 0 true
+	// [crowded] 0 false 0 0 false
+	// [turned away] 0.3 false 0 0 false
 	// [over slots] 0 false 0 0 true
 	// [spent] 0 false 0 0 true
 	// [void] 0 false 0 0 true
