No push too late for its answer to be heard; pace by first demand and the told limit; restarts spread

At fault: hopeless allowed a push until one tick before the TTL's end. Change: none is begun with less time left than answers lately took on average; the message is answered at once instead.

Every dispatcher's pace is its part by what came (decide.part), which counted what clients hand in again, three times the demand, and did not follow the limit. Change: first tries alone count, and the part falls with the limit told. After the kills 300 pushes of owed messages come in one second: they now start at moments of each dispatcher's own, within its even part of the listed rate.

A destination whose limit falls under one call a second and dispatcher stays shut for ten seconds: each learns alone.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -42,6 +42,7 @@
 	rough      = 1.5  // a rough rate may be so many times too high
 	patience   = 5.0  // times the mean answer time a push is waited for
 	mostWait   = 2.0  // one objective at least, and so many at most
+	handIn     = 0.1  // a first try has all its TTL left but this
 	shareSpan  = 5.0  // what a tenant asks is read over this
 	idleKept   = 1.0  // idle connections are kept so long where they are not scarce
 	paceSpan   = 0.5  // a pace is kept over each such span
@@ -83,15 +84,21 @@
 	d := m.dest(ntf.Dest)
 	if !known {
 		h = &held{Notification: ntf, topic: m.topics[ntf.Topic], until: now + ntf.Left, mayRun: never}
-		h.pushes, h.beyond = ntf.Pushes, ntf.Left > h.topic.TTL-m.pushes.Tick && m.beyond(now, ntf.Tenant)
+		first := ntf.Left > h.topic.TTL-handIn && !ntf.Owed
+		h.pushes, h.beyond = ntf.Pushes, first && m.beyond(now, ntf.Tenant)
 		if !ntf.Owed && (!m.dir.Known(d.id) || len(d.queue) >= m.bound() && !m.displace(now, d, h)) {
 			return Answer{Do: Throttle, Ntf: h.ID, RetryIn: m.retryIn(now, d)}
 		}
+		if ntf.Owed {
+			m.spread(now, d, h)
+		}
 		if ntf.RanAt > 0 { // before a restart: it may still run
 			h.mayRun, h.zone, h.rest = ntf.RanAt, m.zone(ntf.Dest, ntf.RanTo), now+m.pushes.Settle
 		}
 		m.held[h.ID] = h
-		d.came = last(d.came, now, many)
+		if first {
+			d.came = last(d.came, now, many)
+		}
 		if h.ordered() {
 			m.keys[h.Key] = append(m.keys[h.Key], h)
 		}
@@ -211,7 +218,7 @@
 			if m.hopeless(now, d, h) {
 				return 0, h.ID
 			}
-			next = min(next, h.until-m.pushes.Tick)
+			next = min(next, m.lastStart(h))
 		}
 	}
 	h, when := m.turn(now)
@@ -381,6 +388,17 @@
 	return m.window(now, g, rate, m.returns.FallAfter)
 }
 
+// spread lets what is owed since a restart start at a moment of this dispatcher's own, within the time in which its even
+// part of the listed rate brings it a push, or the objective. It guards destinations when many restart together.
+func (m *Module) spread(now float64, d *dest, h *held) {
+	for _, e := range m.dir.Of(d.id) {
+		if g := m.gate(e); g.phase == 0 {
+			g.phase = m.rng.float()
+			g.stop = now + g.phase*min(h.topic.Objective, 1/max(m.even(m.rate(e, g)), 1e-9))
+		}
+	}
+}
+
 // part is this dispatcher's part of what a destination takes a second: what lately came here for it, or an
 // even part if that is more. Many dispatchers' even parts are far under one call, while their load is uneven.
 func (m *Module) part(now float64, d *dest, e directory.Endpoint, g *gate) float64 {
@@ -388,7 +406,11 @@
 	for i := len(d.came) - 1; i >= 0 && d.came[i] > now-m.returns.ColdSpan; i-- {
 		n++
 	}
-	return max(n/max(m.returns.ColdSpan, 1), m.even(m.rate(e, g)))
+	part := n / max(m.returns.ColdSpan, 1)
+	if g.limit > 0 && e.Rate > 0 {
+		part *= min(1, g.limit/e.Rate) // the limit was lowered for all
+	}
+	return max(part, m.even(m.rate(e, g)))
 }
 
 // lost counts the calls out to destinations that do not answer. It guards the slots when several hang.
@@ -575,12 +597,16 @@
 	if h.over || h.call != nil {
 		return false
 	}
-	if now >= h.until-m.pushes.Tick || h.pushes >= m.pushes.Most || h.shed {
+	if now >= m.lastStart(h) || h.pushes >= m.pushes.Most || h.shed {
 		return true
 	}
 	return h.mayRun != never && h.topic.Repeat == OnceOnly || now > m.knownUntil(h)
 }
 
+// lastStart is when a push could still bring an answer in time, as answers lately took. One begun later ends unheard,
+// and with it a wait that its answer tells: the next push there would break it.
+func (m *Module) lastStart(h *held) float64 { return h.until - max(m.pushes.Tick, mean(m.lasted, 0)) }
+
 // knownUntil is when a push that may have run would no longer be known for a repeat: none may start later, also
 // none that waited for its connection until then.
 func (m *Module) knownUntil(h *held) float64 {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -270,6 +270,57 @@
 	// 0.10  push A1 to Ab
 }
 
+// Found on the fleet trial, where destinations lower their limits. What comes again after a refusal is no new demand,
+// and this dispatcher's part falls with the limit: half of two a second here, not what 40 retries ask for.
+func Example_lowered() {
+	d := newDesk(12, 60, "A")
+	for i := range 40 {
+		id := fmt.Sprintf("A%02d", i)
+		d.hand[id] = decide.Notification{ID: id, Topic: "order", Key: id, Dest: "A", Left: 15}
+		d.m.Place(d.now, d.hand[id])
+	}
+	told := decide.Outcome{Result: decide.Delivered, Reported: true, Share: 0.2, Limit: 10}
+	lowered := decide.Outcome{Result: decide.Throttled, Reported: true, Limit: 2}
+	d.at(0)
+	d.ended("A", told, "A00", "A01", "A02", "A03", "A04", "A05", "A06", "A07")
+	d.ended("A", lowered, "A08")
+	for i := range 40 {
+		d.at(float64(i) / 10)
+	}
+	// Output:
+	// 0.00  push A00 to A
+	// 0.00  push A01 to A
+	// 0.00  push A02 to A
+	// 0.00  push A03 to A
+	// 0.00  push A04 to A
+	// 0.00  push A05 to A
+	// 0.00  push A06 to A
+	// 0.00  push A07 to A
+	// 0.00  push A08 to A
+	// 1.50  push A08 to A
+	// 2.00  push A09 to A
+}
+
+// Found on the fleet trial: a push with 33 ms left was given up as its refusal came, nobody read the wait told there, and
+// the next push broke it. None is begun with less time left than answers take.
+func Example_unheardWait() {
+	d := newDesk(12, 60, "A")
+	d.take("reading", "A1", "A2", "A3")
+	d.at(0)
+	d.ended("A", ok, "A1", "A2", "A3")
+	d.hand["A4"] = decide.Notification{ID: "A4", Topic: "reading", Dest: "A", Left: 0.05}
+	d.hand["A5"] = decide.Notification{ID: "A5", Topic: "reading", Dest: "A", Left: 0.07}
+	d.print(d.m.Place(d.now, d.hand["A4"]))
+	d.print(d.m.Place(d.now, d.hand["A5"]))
+	d.at(0)
+	// Output:
+	// 0.00  push A1 to A
+	// 0.00  push A2 to A
+	// 0.00  push A3 to A
+	// 0.00  throttle A4
+	// 0.00  push A5 to A
+}
+
 // Found on results-windhoek: refused destinations were sent their whole queue after each stop.
 func Example_pace() {
 	d := newDesk(12, 60, "A")
@@ -601,18 +652,19 @@
 	d.restore("order", "C2'", decide.Notification{})
 	d.restore("tally", "D1", decide.Notification{Pushes: 1, RanAt: 94, RanTo: "D"})
 	d.at(0)
+	d.at(0.2)
 	d.ended("B", failed, "B1")
-	d.at(0.1)
+	d.at(0.3)
 	d.m.After(d.now, decide.Outcome{Ntf: "A1", Result: decide.Withdrawn, Over: true})
-	d.at(0.2)
-	d.at(1)
+	d.at(0.4)
+	d.at(1.2)
 	// Output:
 	// 0.00  expire C2
 	// 0.00  throttle D1
-	// 0.00  push B1 to B
-	// 0.00  throttle B1
-	// 0.20  push A1' to A
-	// 1.00  push C2' to C
+	// 0.20  push B1 to B
+	// 0.20  throttle B1
+	// 0.40  push A1' to A
+	// 1.20  push C2' to C
 }
 
 // A final answer that was not heard yet keeps its key.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -145,7 +145,7 @@
 			r.Tell(Connected{e.Call, conn, end})
 		}()
 	case Begin:
-		r.trace(e.Call, "push")
+		r.trace(e.Call, "push", push.Answer{})
 		ok := written || !slices.ContainsFunc(e.Records, func(x ledger.Record) bool { return unkept[x.ID] }) && r.write(e.Records...)
 		if !ok {
 			e.Call.Conn.Close()
@@ -176,24 +176,32 @@
 }
 
 // trace follows messages by their ids through their pushes, delivered ones too, where the log's level asks for it.
-func (r *Runner) trace(c *Call, text string) {
+func (r *Runner) trace(c *Call, text string, a push.Answer) {
 	if r.Log.GetLevel() > zerolog.DebugLevel {
 		return
 	}
 	for _, m := range c.Items {
-		r.Log.Debug().Str("ntf", m.ID).Str("topic", m.Topic).Str("dest", m.Dest).Str("endpoint", c.Endpoint.ID).
+		told(r.Log.Debug(), a).Str("ntf", m.ID).Str("topic", m.Topic).Str("dest", m.Dest).Str("endpoint", c.Endpoint.ID).
 			Float64("since_placed", r.Clock()-c.placed).Msg(text)
 	}
 }
 
+// told adds to a line what the endpoint reported of its limit.
+func told(line *zerolog.Event, a push.Answer) *zerolog.Event {
+	if !a.Reported {
+		return line
+	}
+	return line.Float64("share", a.Share).Float64("limit", a.Limit)
+}
+
 // log writes the lines that on-call staff read.
 func (r *Runner) log(e Event) {
 	switch e := e.(type) {
 	case Ended:
-		r.trace(e.Call, "push ended")
+		r.trace(e.Call, "push ended", e.Answer)
 		for i, m := range e.Call.Items {
 			if end := e.Answer.Ends[i]; end != push.Done {
-				r.Log.Info().Str("ntf", m.ID).Str("topic", m.Topic).Str("dest", m.Dest).
+				told(r.Log.Info(), e.Answer).Str("ntf", m.ID).Str("topic", m.Topic).Str("dest", m.Dest).
 					Str("endpoint", e.Call.Endpoint.ID).Stringer("end", end).Float64("wait", e.Answer.Wait).
 					Float64("after", r.Clock()-e.Call.placed).Msg("push not delivered")
 			}
