Laboratory: a run holds its loopback network until it ends

Cause, by reading (the failing run kept no text): loop.Find looked whether an agent's address is free and closed its listener again, while another process's agents are down at times, so both could take one network. Change: a listener of its own holds the network for the run.

--- a/lab/lab.go
+++ b/lab/lab.go
@@ -65,9 +65,11 @@
 	defer os.RemoveAll(state)
 	network := o.Network
 	if network == 0 {
-		if network, err = loop.Find(); err != nil {
+		var release func()
+		if network, release, err = loop.Find(); err != nil {
 			return nil, nil, err
 		}
+		defer release()
 	}
 	partners, err := partner.Start(w, j, clock, network)
 	if err != nil {
--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -162,10 +162,11 @@
 // What does not come up is told in one line, and leaves nothing behind.
 func TestBadStart(t *testing.T) {
 	s := open("calm")
-	network, err := loop.Find()
+	network, release, err := loop.Find()
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer release()
 	taken, err := net.Listen("tcp", network.Endpoint(3))
 	if err != nil {
 		t.Fatal(err)
--- a/lab/loop/loop.go
+++ b/lab/loop/loop.go
@@ -22,16 +22,17 @@
 // found counts the networks that this process looked at: two runs of it never get the same.
 var found atomic.Int64
 
-// Find returns a network in which nobody listens yet. Runs side by side get different ones.
-func Find() (Network, error) {
+// Find returns a network that no other run holds, and what gives it back. A listener of its own holds it: a run's agents are
+// down at times, and another process that looked then would take the same addresses.
+func Find() (Network, func(), error) {
 	for range tries {
 		n := Network(firstNetwork + (os.Getpid()*31+int(found.Add(1)))%networks)
-		ln, err := net.Listen("tcp", n.Agent(0))
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:8499", n))
 		if err == nil {
-			return n, ln.Close()
+			return n, func() { _ = ln.Close() }, nil
 		}
 	}
-	return 0, fmt.Errorf("no free loopback network among %d: end the runs that still go on", tries)
+	return 0, nil, fmt.Errorf("no free loopback network among %d: end the runs that still go on", tries)
 }
 
 // Dispatcher is the address of a dispatcher, counted from 0.
