--- a/decide/decide.go
+++ b/decide/decide.go
@@ -146,7 +146,8 @@
 	wait := m.patience(g, end, h)
 	h.hurried = h.until-now < wait
 	return Answer{Do: Push, Ntf: h.ID, Endpoint: e.ID, Timeout: min(wait, h.until-now),
-		Within: m.knownUntil(h) - now, Fresh: h.topic.Repeat == OnceOnly && m.scarce[e.Kind] > now} // a kept connection may break under it
+		Within: m.knownUntil(h) - now,
+		Fresh:  h.topic.Repeat == OnceOnly && m.scarce[e.Kind] > now} // a kept connection may break under it
 }
 
 // After takes in how a push ended and tells what becomes of its notification.
@@ -388,13 +389,14 @@
 	return m.window(now, g, rate, m.returns.FallAfter)
 }
 
-// spread lets what is owed since a restart start at a moment of this dispatcher's own, within the time in which its even
-// part of the listed rate brings it a push, or the objective. It guards destinations when many restart together.
+// spread lets what is owed since a restart start at a moment of this dispatcher's own, within the time in
+// which its even part of the listed rate brings it a push, or the objective. It guards destinations when many
+// restart together.
 func (m *Module) spread(now float64, d *dest, h *held) {
 	for _, e := range m.dir.Of(d.id) {
 		if g := m.gate(e); g.phase == 0 {
 			g.phase = m.rng.float()
-			g.stop = now + g.phase*min(h.topic.Objective, 1/max(m.even(m.rate(e, g)), 1e-9))
+			g.stop = now + g.phase*min(h.topic.Objective, 1/m.even(m.rate(e, g)))
 		}
 	}
 }
@@ -603,12 +605,14 @@
 	return h.mayRun != never && h.topic.Repeat == OnceOnly || now > m.knownUntil(h)
 }
 
-// lastStart is when a push could still bring an answer in time, as answers lately took. One begun later ends unheard,
-// and with it a wait that its answer tells: the next push there would break it.
-func (m *Module) lastStart(h *held) float64 { return h.until - max(m.pushes.Tick, mean(m.lasted, 0)) }
+// lastStart is when a push could still bring an answer in time, as answers lately took. One begun later ends
+// unheard, and with it a wait that its answer tells: the next push there would break it.
+func (m *Module) lastStart(h *held) float64 {
+	return h.until - max(m.pushes.Tick, mean(m.lasted, 0))
+}
 
-// knownUntil is when a push that may have run would no longer be known for a repeat: none may start later, also
-// none that waited for its connection until then.
+// knownUntil is when a push that may have run would no longer be known for a repeat: none may start later,
+// also none that waited for its connection until then.
 func (m *Module) knownUntil(h *held) float64 {
 	if h.topic.Repeat != Collapsible {
 		return never
@@ -751,8 +755,8 @@
 
 // closes tells when idle connections are to be closed. An endpoint may take only so many, and many
 // dispatchers' idle ones would shut the others out, or break unseen. Where endpoints of its kind lately
-// refused or broke one, the settings' idle time is divided among the dispatchers, and where this one's calls come
-// farther apart than that a connection kept would only take another's place; else it is a second at least.
+// refused or broke one, the settings' idle time is divided among the dispatchers, and where this one's calls
+// come farther apart a connection kept would only take another's place; else it is a second at least.
 func (m *Module) closes(now float64, i idle) float64 {
 	keep := m.even(m.pushes.IdleClose)
 	if m.scarce[i.end.kind] <= now {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -525,7 +525,6 @@
 	d.at(0.4)
 	for i := 1; i < 5; i++ {
 		d.at(1.1 * float64(i))
-		d.ended("A", crowded, "A1")
 		d.ended("A'", crowded, "A1")
 		d.at(1.1*float64(i) + 0.05)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -279,13 +279,12 @@
 // passed: a connection may take a second to come up, and what may have run is known for a repeat only so long.
 func (g *Gateway) connected(now float64, e Connected) {
 	c := e.Call
-	c.Items = slices.DeleteFunc(c.Items, func(m *message.Message) bool { return !g.on(c, m) })
 	if e.Conn == nil {
 		g.ended(now, c, push.All(len(c.Items), e.End))
 		return
 	}
 	for _, m := range c.Items {
-		if g.hand[m.ID].start < now {
+		if g.on(c, m) && g.hand[m.ID].start < now {
 			g.end(now, c, []*message.Message{m}, push.All(1, push.GivenBack))
 		}
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"orchiddrift/ledger"
+	"orchiddrift/message"
 	"orchiddrift/push"
 )
 
@@ -145,13 +146,13 @@
 			r.Tell(Connected{e.Call, conn, end})
 		}()
 	case Begin:
-		r.trace(e.Call, "push", push.Answer{})
 		ok := written || !slices.ContainsFunc(e.Records, func(x ledger.Record) bool { return unkept[x.ID] }) && r.write(e.Records...)
 		if !ok {
 			e.Call.Conn.Close()
 			r.step(Ended{e.Call, push.All(len(e.Call.Items), push.Unkept)})
 			return
 		}
+		r.trace(e.Call, "push", push.Answer{})
 		go func() { r.Tell(Ended{e.Call, e.Call.Conn.Send(e.Call.Items, e.Within)}) }()
 	case Shut:
 		e.Conn.Close()
@@ -181,17 +182,16 @@
 		return
 	}
 	for _, m := range c.Items {
-		told(r.Log.Debug(), a).Str("ntf", m.ID).Str("topic", m.Topic).Str("dest", m.Dest).Str("endpoint", c.Endpoint.ID).
-			Float64("since_placed", r.Clock()-c.placed).Msg(text)
+		about(r.Log.Debug(), c, m, a).Float64("since_placed", r.Clock()-c.placed).Msg(text)
 	}
 }
 
-// told adds to a line what the endpoint reported of its limit.
-func told(line *zerolog.Event, a push.Answer) *zerolog.Event {
-	if !a.Reported {
-		return line
+// about starts a line on a message's push: which, where to, and what the endpoint reported of its limit.
+func about(line *zerolog.Event, c *Call, m *message.Message, a push.Answer) *zerolog.Event {
+	if a.Reported {
+		line = line.Float64("share", a.Share).Float64("limit", a.Limit)
 	}
-	return line.Float64("share", a.Share).Float64("limit", a.Limit)
+	return line.Str("ntf", m.ID).Str("topic", m.Topic).Str("dest", m.Dest).Str("endpoint", c.Endpoint.ID)
 }
 
 // log writes the lines that on-call staff read.
@@ -201,8 +201,7 @@
 		r.trace(e.Call, "push ended", e.Answer)
 		for i, m := range e.Call.Items {
 			if end := e.Answer.Ends[i]; end != push.Done {
-				told(r.Log.Info(), e.Answer).Str("ntf", m.ID).Str("topic", m.Topic).Str("dest", m.Dest).
-					Str("endpoint", e.Call.Endpoint.ID).Stringer("end", end).Float64("wait", e.Answer.Wait).
+				about(r.Log.Info(), e.Call, m, e.Answer).Stringer("end", end).Float64("wait", e.Answer.Wait).
 					Float64("after", r.Clock()-e.Call.placed).Msg("push not delivered")
 			}
 		}
--- a/lab/loop/loop.go
+++ b/lab/loop/loop.go
@@ -27,7 +27,7 @@
 func Find() (Network, func(), error) {
 	for range tries {
 		n := Network(firstNetwork + (os.Getpid()*31+int(found.Add(1)))%networks)
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:8499", n))
+		ln, err := net.Listen("tcp", n.held())
 		if err == nil {
 			return n, func() { _ = ln.Close() }, nil
 		}
@@ -35,6 +35,9 @@
 	return 0, nil, fmt.Errorf("no free loopback network among %d: end the runs that still go on", tries)
 }
 
+// held is the address that holds the network for a run.
+func (n Network) held() string { return fmt.Sprintf("127.%d.255.254:8499", n) }
+
 // Dispatcher is the address of a dispatcher, counted from 0.
 func (n Network) Dispatcher(i int) string { return fmt.Sprintf("127.%d.0.%d:8081", n, i+1) }
 
