A notice's log line names its destination and the TTL that was left

The notice line now carries dest and left (gateway.Notify, gateway/run.go); Example_noticeTellsWhere shows both. Decisions are unchanged.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -107,6 +107,8 @@
 	ID      string
 	Outcome string
 	RetryIn float64
+	Dest    string  // for the log: where the message was to go
+	Left    float64 // for the log: seconds of its TTL still left; much left and no push means no room
 }
 
 // Watch follows the list; Listed and ListLost follow.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,7 +77,7 @@
 		g.hand[m.ID] = &item{message: m, ending: m.Ending}
 		g.answer(now, g.module.Place(now, m.Notification))
 		if n := o.Notice; n != nil {
-			g.do(Notify{n.ID, n.Outcome, n.RetryIn})
+			g.do(Notify{ID: n.ID, Outcome: n.Outcome, RetryIn: n.RetryIn, Dest: m.Dest, Left: m.Left})
 		}
 	}
 	return g.done()
@@ -181,9 +181,9 @@
 	case decide.Push:
 		g.join(now, a)
 	case decide.Throttle:
-		g.notify(Notify{a.Ntf, HandedBack, a.RetryIn})
+		g.notify(now, Notify{ID: a.Ntf, Outcome: HandedBack, RetryIn: a.RetryIn})
 	case decide.Expire:
-		g.notify(Notify{a.Ntf, GivenUp, 0})
+		g.notify(now, Notify{ID: a.Ntf, Outcome: GivenUp})
 	case decide.Cancel:
 		if it := g.hand[a.Ntf]; it != nil && it.call != nil && it.call.Conn != nil {
 			g.do(Shut{it.call.Conn})
@@ -201,8 +201,10 @@
 }
 
 // notify ends a message by a notice: the ledger has it before the platform.
-func (g *Gateway) notify(n Notify) {
-	g.hand[n.ID].ending = true
+func (g *Gateway) notify(now float64, n Notify) {
+	it := g.hand[n.ID]
+	it.ending = true
+	n.Dest, n.Left = it.message.Dest, it.message.Until-now
 	g.do(Keep{[]ledger.Record{{Kind: ledger.Noticed, ID: n.ID, Outcome: n.Outcome, RetryIn: n.RetryIn}}})
 	g.do(n)
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -185,6 +185,27 @@
 	// 2.00  nothing to wait for
 }
 
+// A notice says where its message was to go and how much of its TTL was left: a message given up early with
+// no push tells on-call staff that there was no room for it, one with none left that its destination was shut.
+func Example_noticeTellsWhere() {
+	b := newBench("A")
+	b.take("order", "A1")
+	b.at(0)
+	b.open("A1")
+	b.now += 0.5
+	for _, e := range b.g.Step(b.now, gateway.Ended{Call: b.calls["A1"], Answer: push.All(1, push.BrokeLate)}) {
+		if n, ok := e.(gateway.Notify); ok {
+			fmt.Printf("%s %s, to %s with %.1f s left\n", n.ID, n.Outcome, n.Dest, n.Left)
+		}
+	}
+	// Output:
+	// 0.00  accept A1
+	// 0.00  dial A for A1 within 1.50
+	// 0.00  nothing to wait for
+	// 0.00  begin A1 to A within 8.00, keep began A1
+	// A1 given_up, to A with 19.5 s left
+}
+
 // What was told while a connection came up holds: after a wait or a drain the call is not sent.
 func Example_toldMeanwhile() {
 	b := newBench("A", "B")
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -157,7 +157,8 @@
 	case Shut:
 		e.Conn.Close()
 	case Notify:
-		r.Log.Info().Str("ntf", e.ID).Str("outcome", e.Outcome).Float64("retry_in", e.RetryIn).Msg("notice")
+		r.Log.Info().Str("ntf", e.ID).Str("dest", e.Dest).Str("outcome", e.Outcome).Float64("retry_in", e.RetryIn).
+			Float64("left", e.Left).Msg("notice")
 		r.Platform.Notify(e, r.Tell)
 	case Watch:
 		r.Platform.Watch(r.Tell)
