A shared call tells and keeps one time: the first TTL among its messages ends it

We had told the longest wait as the call's X-Budget and took the answer as delivery of all.

Checked and dropped: answers that stop short (read to their end: the printed body was whole), a notice too late, records not written before the end, ids met again, keys mixed up (each key's order was kept as the dispatcher saw it).

At fault: gateway.join, c.until = max(c.until, until), and lapse, which gave the one up and left the call open for the rest. Fix: until is cut to the first TTL. lapse, the list of shared calls and StillOut go. Lines on taken, notice answered and the end of each push come at level debug.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -171,10 +171,6 @@
 		m.settle(now, h)
 		return Answer{}
 	}
-	if o.StillOut { // its key and its part of the call stay its own until that ends
-		h.mayRun = min(h.mayRun, h.lastSent)
-		return m.giveUp(now, d, h)
-	}
 	c := h.call
 	h.call = nil
 	if c != nil {
--- a/decide/types.go
+++ b/decide/types.go
@@ -71,7 +71,6 @@
 	NoSlot   bool    // Moot: every slot was taken
 	Unsent   bool    // Moot: it was handed back before a byte was sent, and counts as no push
 	Spent    bool    // Moot: no further push of it will be taken
-	StillOut bool    // its TTL has ended in a call that others are waited for in: what comes of that follows
 	Reported bool    // Share and Limit were told
 	Share    float64 // of the limit, left just now
 	Limit    float64 // calls a second
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,8 +25,8 @@
 	Endpoint directory.Endpoint
 	Items    []*message.Message
 	Conn     *push.Conn // once it is sent, the connection that it is out on
-	until    float64    // when the longest of its messages' waits is over
-	last     float64    // when the first of the TTLs ends of those still in it
+	until    float64    // when the longest of its messages' waits is over, or the first of their TTLs
+	first    float64    // when that TTL ends
 	placed   float64
 	fresh    bool // it goes on a new connection
 }
@@ -45,7 +45,6 @@
 	past     map[string]float64      // messages that are over, until their TTL ends
 	forming  []*Call                 // the calls of this turn
 	overfull []*Call                 // and what they had no room for
-	shared   []*Call                 // calls under way with several messages
 	leaving  bool
 	stopped  bool
 	effects  []Effect
@@ -69,7 +68,6 @@
 	message *message.Message
 	call    *Call
 	ending  bool    // its notice is out
-	heard   bool    // and answered, but its push is still out in a call with others
 	start   float64 // its push may start until then
 }
 
@@ -145,16 +143,12 @@
 	if g.stopped {
 		return nil, math.Inf(1)
 	}
-	g.lapse(now)
 	for {
 		wait, id := g.module.Wait(now)
 		if wait > 0 {
 			if g.start(now) {
 				wait = 0
 			}
-			for _, c := range g.shared {
-				wait = min(wait, max(0, c.last-now))
-			}
 			return g.done(), wait
 		}
 		ntf := decide.Notification{}
@@ -221,8 +215,10 @@
 }
 
 // join puts a push into the latest call of this turn to its endpoint that has room, or into a new one. A call
-// has one connection and so one end: it is waited for as long as any message in it may wait; one whose TTL ends
-// before leaves it.
+// has one connection and so one end, and tells one time: it is waited for as long as any message in it may wait, but
+// not past the first TTL among them. An answer after that is late for one of its messages and may stand for none,
+// though it reads as delivered for all: what was taken as over on it would be lost. This does harm where one with little
+// time left takes others with it that could have waited.
 func (g *Gateway) join(now float64, a decide.Answer) {
 	it := g.hand[a.Ntf]
 	it.start = now + a.Within
@@ -236,14 +232,15 @@
 				return
 			}
 			c.Items = append(c.Items, it.message)
-			c.until, c.last = max(c.until, until), min(c.last, it.message.Until)
+			c.first = min(c.first, it.message.Until)
+			c.until = min(max(c.until, until), c.first)
 			c.fresh = c.fresh || a.Fresh
 			it.call = c
 			return
 		}
 	}
 	e, _ := g.dir.Find(it.message.Dest, a.Endpoint)
-	it.call = &Call{Endpoint: e, Items: []*message.Message{it.message}, until: until, last: it.message.Until,
+	it.call = &Call{Endpoint: e, Items: []*message.Message{it.message}, until: until, first: it.message.Until,
 		placed: now, fresh: a.Fresh}
 	g.forming = append(g.forming, it.call)
 }
@@ -252,9 +249,6 @@
 // is given back; it tells whether there was any, whose turn is then to be asked again.
 func (g *Gateway) start(now float64) bool {
 	for _, c := range g.forming {
-		if len(c.Items) > 1 {
-			g.shared = append(g.shared, c)
-		}
 		conn := g.reuse(c.Endpoint)
 		if conn != nil && c.fresh { // in its place: an endpoint takes only so many
 			g.do(Shut{conn})
@@ -325,36 +319,8 @@
 	return g.hand[m.ID] != nil && g.hand[m.ID].call == c
 }
 
-// lapse gives messages up whose TTL has ended in calls that others are still waited for in. It guards those: the
-// oldest go first, and after an outage a call that ended with its first message's TTL would take all others' pushes
-// with it, again and again. What lapsed stays on its call, and its key its own, until the call ends.
-func (g *Gateway) lapse(now float64) {
-	for _, c := range slices.Clone(g.shared) {
-		if c.last > now {
-			continue
-		}
-		c.last = math.Inf(1)
-		for _, m := range c.Items {
-			switch {
-			case !g.on(c, m) || g.hand[m.ID].ending:
-			case m.Until > now:
-				c.last = min(c.last, m.Until)
-			case c.Conn == nil:
-				g.end(now, c, []*message.Message{m}, push.All(1, push.GivenBack))
-			default:
-				o := decide.Outcome{Ntf: m.ID, Result: decide.TimedOut, StillOut: true, Endpoint: c.Endpoint.ID}
-				g.answer(now, g.module.After(now, o))
-			}
-		}
-		if c.Conn != nil && math.IsInf(c.last, 1) {
-			g.do(Shut{c.Conn})
-		}
-	}
-}
-
 // ended takes in how a call ended, for each message still on it.
 func (g *Gateway) ended(now float64, c *Call, a push.Answer) {
-	g.shared = slices.DeleteFunc(g.shared, func(x *Call) bool { return x == c })
 	if c.Conn != nil && a.Reusable {
 		g.keep(c.Endpoint, c.Conn)
 	}
@@ -382,9 +348,7 @@
 		} else if a.Ends[i].MayHaveRun() {
 			kind = ledger.MayRun
 		}
-		if !g.hand[m.ID].ending {
-			records = append(records, ledger.Record{Kind: kind, ID: m.ID})
-		}
+		records = append(records, ledger.Record{Kind: kind, ID: m.ID})
 	}
 	g.do(Keep{records})
 	for i, m := range list {
@@ -394,7 +358,7 @@
 		o.Ntf, o.Endpoint, o.Latency, o.Wait = m.ID, c.Endpoint.ID, now-c.placed, a.Wait
 		o.Reported, o.Share, o.Limit = a.Reported, a.Share, a.Limit
 		g.answer(now, g.module.After(now, o))
-		if it.heard || o.Over && !it.ending {
+		if o.Over {
 			g.drop(m.ID)
 		}
 	}
@@ -434,11 +398,7 @@
 // over lets go of a message that needs nothing more but to be told of.
 func (g *Gateway) over(now float64, id string) {
 	g.answer(now, g.module.After(now, decide.Outcome{Ntf: id, Result: decide.Withdrawn, Over: true}))
-	if it := g.hand[id]; it != nil && it.call != nil {
-		it.heard = true
-	} else {
-		g.drop(id)
-	}
+	g.drop(id)
 }
 
 func (g *Gateway) do(e Effect) { g.effects = append(g.effects, e) }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -129,6 +129,8 @@
 	case Accept:
 		if written {
 			e.Reply(Reply{Taken: true})
+			r.Log.Debug().Str("ntf", e.Message.ID).Str("topic", e.Message.Topic).Str("dest", e.Message.Dest).Str("key", e.Message.Key).
+				Float64("left", e.Message.Left).Msg("taken")
 			return
 		}
 		unkept[e.Message.ID] = true
@@ -182,8 +184,12 @@
 	if r.Log.GetLevel() > zerolog.DebugLevel {
 		return
 	}
-	for _, m := range c.Items {
-		about(r.Log.Debug(), c, m, a).Float64("since_placed", r.Clock()-c.placed).Msg(text)
+	for i, m := range c.Items {
+		line := about(r.Log.Debug(), c, m, a).Float64("since_placed", r.Clock()-c.placed).Float64("call_left", c.until-r.Clock())
+		if len(a.Ends) > 0 {
+			line = line.Stringer("end", a.Ends[i])
+		}
+		line.Msg(text)
 	}
 }
 
@@ -211,6 +217,8 @@
 			r.Log.Info().Str("endpoint", e.Call.Endpoint.ID).Str("dest", e.Call.Endpoint.Dest).
 				Stringer("end", e.End).Msg("no connection")
 		}
+	case Noticed:
+		r.Log.Debug().Str("ntf", e.ID).Msg("notice answered")
 	case Listed:
 		if e.Full || len(e.Endpoints) > 0 || r.listLost {
 			r.Log.Info().Bool("full", e.Full).Int("entries", len(e.Endpoints)).Msg("list")
