Lab: late answers, a scenario that a dispatcher loses notifications on where calls outlast a TTL

A share of calls is answered as delivered 0.1 s after the first TTL in it; the judge holds that for no answer.

--- a/lab/behaviour/behaviour.go
+++ b/lab/behaviour/behaviour.go
@@ -23,6 +23,7 @@
 	Break             // the connection is reset in the place of an answer
 	CutOff            // the answer breaks off in the middle
 	Spoilt            // the answer cannot be read
+	Late              // it comes whole just after the first TTL in the call, and counts as none
 	Close             // the answer is good, and the connection is closed untold behind it
 )
 
@@ -147,7 +148,7 @@
 	for _, odd := range []struct {
 		kind string
 		way  Way
-	}{{scenario.Lost, Silent}, {scenario.Reset, Break}, {scenario.Cut, CutOff}, {scenario.Spoil, Spoilt}, {scenario.Close, Close}} {
+	}{{scenario.Lost, Silent}, {scenario.Reset, Break}, {scenario.Late, Late}, {scenario.Cut, CutOff}, {scenario.Spoil, Spoilt}, {scenario.Close, Close}} {
 		if f := p.hit(odd.kind, now, e); f != nil && chance.Float64() < f.Share {
 			fate.Way, fate.Why = odd.way, f.Kind
 			break
@@ -160,7 +161,7 @@
 func all(c Call, f Fate, ran bool) Fate {
 	state := record.Odd
 	switch {
-	case f.Way == Silent || f.Way == Break:
+	case f.Way == Silent || f.Way == Break || f.Way == Late:
 		state = record.Open
 	case (f.Way == Answer || f.Way == Close) && f.Status == 200:
 		state = record.Done
--- a/lab/behaviour/behaviour_test.go
+++ b/lab/behaviour/behaviour_test.go
@@ -93,7 +93,7 @@
 
 // The faults, one each: what has run is told by nobody but the partner.
 func Example_faults() {
-	for _, kind := range []string{scenario.Hang, scenario.Errors, scenario.Lost, scenario.Reset, scenario.Cut, scenario.Spoil, scenario.Close} {
+	for _, kind := range []string{scenario.Hang, scenario.Errors, scenario.Lost, scenario.Reset, scenario.Late, scenario.Cut, scenario.Spoil, scenario.Close} {
 		show(partner(scenario.Kind{Queue: 9}, scenario.Trouble{Kind: kind, At: 1, For: 1, Share: 1}), 1.5)
 	}
 	p := partner(scenario.Kind{Queue: 9}, scenario.Trouble{Kind: scenario.Reused, At: 1, For: 1, Share: 1},
@@ -105,9 +105,10 @@
 	// 1.50: way 0 status 500 after 0.01 wait 0.00 "failed" ran true because "errors"
 	// 1.50: way 1 status 200 after 0.25 wait 0.00 "" ran true because "lost"
 	// 1.50: way 2 status 200 after 0.25 wait 0.00 "" ran true because "reset"
+	// 1.50: way 5 status 200 after 0.25 wait 0.00 "" ran true because "late"
 	// 1.50: way 3 status 200 after 0.25 wait 0.00 "odd" ran true because "cut"
 	// 1.50: way 4 status 200 after 0.25 wait 0.00 "odd" ran true because "spoil"
-	// 1.50: way 5 status 200 after 0.25 wait 0.00 "done" ran true because "close"
+	// 1.50: way 6 status 200 after 0.25 wait 0.00 "done" ran true because "close"
 	// 2 0
 	// true false true false and its follower false true
 }
--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -100,7 +100,7 @@
 
 // The real dispatcher keeps the rules where several things go wrong together.
 func TestScenarios(t *testing.T) {
-	for _, name := range []string{"tour", "all-at-once", "lost-and-killed", "cold-restart", "drain-in-wait"} {
+	for _, name := range []string{"tour", "all-at-once", "lost-and-killed", "cold-restart", "drain-in-wait", "late"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := open(name)
--- a/lab/partner/conn.go
+++ b/lab/partner/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,6 +19,7 @@
 const (
 	mostBody = 1 << 20 // of a call
 	instant  = 1e-4    // an answer due so soon is given at once
+	lateBy   = 0.1     // after the first TTL in a call comes an answer that is late
 )
 
 // conn is a connection of a dispatcher. One goroutine reads, so that its end is seen while a call is served by the other.
@@ -182,6 +184,9 @@
 		c.rest(r, nil)
 		return false
 	}
+	if fate.Way == behaviour.Late {
+		fate.After = max(fate.After, all.journal.Until(r.IDs)+lateBy-all.clock.Now())
+	}
 	if fate.After > instant {
 		timer := time.NewTimer(seconds(fate.After))
 		defer timer.Stop()
@@ -210,6 +215,9 @@
 			<-c.either()
 		}
 		return false
+	case behaviour.Late:
+		fate.States = slices.Repeat([]record.State{record.Done}, len(r.IDs)) // as it reads
+		return c.write(r, fate, func() {})
 	}
 	return c.write(r, fate, func() { r.Status, r.Wait, r.States = fate.Status, fate.Wait, fate.States }) &&
 		!c.beyond && fate.Way != behaviour.Close
--- a/lab/record/record.go
+++ b/lab/record/record.go
@@ -6,6 +6,8 @@
 	"bufio"
 	"encoding/json"
 	"io"
+	"math"
+	"slices"
 	"sync"
 )
 
@@ -132,6 +134,19 @@
 // HandIn adds a hand-in.
 func (j *Journal) HandIn(h *HandIn) { j.Change(func() { j.HandIns = append(j.HandIns, h) }) }
 
+// Until is when the first of the TTLs of some notifications ends.
+func (j *Journal) Until(ids []string) float64 {
+	first := math.Inf(1)
+	j.Change(func() {
+		for _, h := range j.HandIns {
+			if slices.Contains(ids, h.ID) {
+				first = min(first, h.Until)
+			}
+		}
+	})
+	return first
+}
+
 // Call adds a call.
 func (j *Journal) Call(c *Call) { j.Change(func() { j.Calls = append(j.Calls, c) }) }
 
--- a/lab/scenario/check.go
+++ b/lab/scenario/check.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-var troubles = []string{Refuse, Hang, Errors, Slow, Lost, Reset, Reused, Cut, Spoil, Close, Shut, Limit, Drain, Kill, Restart, Stall,
+var troubles = []string{Refuse, Hang, Errors, Slow, Lost, Reset, Reused, Late, Cut, Spoil, Close, Shut, Limit, Drain, Kill, Restart, Stall,
 	ListDown, Move, Surge, Hot, BusyDisk}
 
 // OfPartners tells whether a trouble is one of destinations' endpoints.
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -148,6 +148,7 @@
 	Lost     = "lost"      // a share of calls runs, and its answer never comes
 	Reset    = "reset"     // a share of calls runs, then the connection breaks in the place of an answer
 	Reused   = "reused"    // connections that were used before break under the next call, before it runs
+	Late     = "late"      // a share of calls runs, and is answered just after the first TTL in it: that counts as none
 	Cut      = "cut"       // a share of answers breaks off in the middle
 	Spoil    = "spoil"     // a share of answers cannot be read
 	Close    = "close"     // a share of connections is closed untold behind a good answer
