--- a/intake/clients.go
+++ b/intake/clients.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 
 	"github.com/valyala/fasthttp"
 )
@@ -54,7 +55,7 @@
 	if len(l.open) >= l.most {
 		var out *client
 		for x := range l.open {
-			if !x.busy && (out == nil || !x.served && out.served || x.served == out.served && x.moved < out.moved) {
+			if !x.busy && (out == nil || !x.served && out.served || x.served == out.served && x.moved < out.moved) && !x.unread() {
 				out = x
 			}
 		}
@@ -88,6 +89,25 @@
 	return c.all.known > c.all.most/crowd
 }
 
+// unread tells that bytes of the client have come that nobody has read yet. Many connections may be accepted before the
+// first of them is read, and a request that has come whole would end without an answer. It does harm only while a
+// client that sends without end is read more slowly than it sends.
+func (c *client) unread() bool {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	_ = raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n > 0
+}
+
 // state notes that a connection's request was answered, or that it is closed.
 func state(conn net.Conn, s fasthttp.ConnState) {
 	c := conn.(*client)
--- /dev/null
+++ b/intake/clients_test.go
@@ -0,0 +1,45 @@
+package intake
+
+import (
+	"fmt"
+	"net"
+	"time"
+)
+
+// Where one more comes than may be open, a connection whose request has come and is not read yet is kept, and the one
+// that says nothing makes room, though it came later.
+func Example_unread() {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	l := &clients{Listener: ln, most: 2, open: map[*client]bool{}}
+	asks := dialled(l)
+	fmt.Fprint(asks, "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+	silent := dialled(l)
+	time.Sleep(20 * time.Millisecond) // loopback has brought the request by then
+	dialled(l)
+	fmt.Println("closed: asks", closed(asks), "silent", closed(silent))
+	// Output:
+	// closed: asks false silent true
+}
+
+// dialled connects and lets the listener accept it; nobody reads.
+func dialled(l *clients) net.Conn {
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		panic(err)
+	}
+	if _, err := l.Accept(); err != nil {
+		panic(err)
+	}
+	return conn
+}
+
+// closed tells whether the other side has ended a connection.
+func closed(conn net.Conn) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	_, err := conn.Read(make([]byte, 1))
+	e, ok := err.(net.Error)
+	return !ok || !e.Timeout()
+}
