What was told before the process ends is taken in before it does

Read in the code, caused in a test (Example_last: 18 of 32 without): Runner.Run left at stop with events still queued, by chance, and an answer or a notice's answer among them never reached the ledger. After the restart a delivered once-only notification would be given up, a notice sent again. At fault: the stop case of Runner.Run.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -44,6 +44,7 @@
 	for !r.Gateway.Finished() {
 		select {
 		case <-stop:
+			r.last()
 			return
 		case e := <-r.Events:
 			r.step(e)
@@ -63,6 +64,15 @@
 	}
 }
 
+// last takes in what came before the end: an answer that waits here unread would be a push that may have run after the
+// restart, and a once-only notification that was delivered would be given up.
+func (r *Runner) last() {
+	for len(r.Events) > 0 {
+		r.step(<-r.Events)
+	}
+	r.flush()
+}
+
 // Restore takes back what is owed since before a restart.
 func (r *Runner) Restore(owed []ledger.Owed) {
 	r.batch = append(r.batch, r.Gateway.Restore(r.Clock(), owed)...)
