--- a/gateway/events.go
+++ b/gateway/events.go
@@ -96,7 +96,6 @@
 type Begin struct {
 	Call    *Call
 	Records []ledger.Record
-	Within  float64
 }
 
 // Shut closes a connection.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,8 +60,8 @@
 	return throttled{dest: e.Dest}
 }
 
-// left is how long the call may still wait.
-func (c *Call) left(now float64) float64 { return max(0, c.until-now) }
+// Left is how long the call may still wait.
+func (c *Call) Left(now float64) float64 { return max(0, c.until-now) }
 
 // item is a message in hand.
 type item struct {
@@ -257,7 +257,7 @@
 		if conn != nil {
 			g.begin(now, c, conn)
 		} else {
-			g.do(Dial{c, min(g.dial, c.left(now))})
+			g.do(Dial{c, min(g.dial, c.Left(now))})
 		}
 	}
 	back := g.overfull
@@ -311,7 +311,7 @@
 	for _, m := range c.Items {
 		records = append(records, ledger.Record{Kind: ledger.Began, ID: m.ID, At: now, To: c.Endpoint.ID})
 	}
-	g.do(Begin{c, records, c.left(now)})
+	g.do(Begin{c, records})
 }
 
 // on tells that a message is still out on a call.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -102,7 +102,7 @@
 			b.say("dial %s for %s within %.2f", e.Call.Endpoint.ID, items(e.Call), e.Within)
 		case gateway.Begin:
 			b.note(e.Call)
-			b.say("begin %s to %s within %.2f, keep %s", items(e.Call), e.Call.Endpoint.ID, e.Within, records(e.Records))
+			b.say("begin %s to %s within %.2f, keep %s", items(e.Call), e.Call.Endpoint.ID, e.Call.Left(b.now), records(e.Records))
 		case gateway.Notify:
 			b.say("notify %s %s %.2f", e.ID, e.Outcome, e.RetryIn)
 		case gateway.Shut:
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -165,7 +165,7 @@
 			return
 		}
 		r.trace(e.Call, "push", push.Answer{})
-		go func() { r.Tell(Ended{e.Call, e.Call.Conn.Send(e.Call.Items, e.Within)}) }()
+		go func() { r.Tell(Ended{e.Call, r.send(e.Call)}) }()
 	case Shut:
 		e.Conn.Close()
 	case Notify:
@@ -179,6 +179,19 @@
 	}
 }
 
+// send sends a call and waits for its answer, by the clock as it is now: writing the records took its time, or the process
+// stood still. A call that told and kept more than it had left could end as delivered after a TTL in it. Where there is
+// nothing left of its time it is given back. It does harm where the clock of those who set the TTLs goes otherwise.
+func (r *Runner) send(c *Call) push.Answer {
+	left := c.Left(r.Clock())
+	if left < push.LeastWait {
+		a := push.All(len(c.Items), push.GivenBack)
+		a.Reusable = true
+		return a
+	}
+	return c.Conn.Send(c.Items, left)
+}
+
 // write puts records into the ledger and tells whether they are there.
 func (r *Runner) write(records ...ledger.Record) bool {
 	err := r.Ledger.Write(records...)
--- a/gateway/run_test.go
+++ b/gateway/run_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
+	"strings"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"orchiddrift/decide"
 	"orchiddrift/directory"
 	"orchiddrift/disk"
+	"orchiddrift/disk/faulty"
 	"orchiddrift/gateway"
 	"orchiddrift/ledger"
 	"orchiddrift/message"
@@ -51,3 +56,48 @@
 	// Output:
 	// owed 0
 }
+
+// A call tells its endpoint the time that is left as it is sent: each write to the disk takes half a second here, and
+// those before the push come off. Where nothing is left, nothing is sent.
+func Example_leftAsSent() {
+	for _, until := range []float64{1020, 1001.7} {
+		asked := make(chan string, 1)
+		partner := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { asked <- r.Header.Get("X-Budget") }))
+		folder := faulty.New()
+		book, _, _, err := ledger.Open(folder, ledger.Options{Limit: 3e6})
+		if err != nil {
+			panic(err)
+		}
+		known := directory.New()
+		known.Replace([]directory.Endpoint{{ID: "A", Dest: "A", Kind: "bulk", Stage: directory.Ready, Addr: strings.TrimPrefix(partner.URL, "http://")}})
+		m := decide.New(1, known, []decide.Topic{{Name: "reading", Repeat: decide.Repeatable, Objective: 2, TTL: 20}},
+			decide.Slots{Calls: 6, Held: 9}, decide.Routes{}, decide.Returns{}, decide.Pushes{Most: 8, Tick: 0.005}, decide.Shares{}, false)
+		before := folder.Writes
+		r := &gateway.Runner{Gateway: gateway.New(m, known, book.Room, nil, nil, 1), Ledger: book, Log: zerolog.Nop(), Platform: nobody{},
+			Clock: func() float64 { return 1000 + 0.5*float64(folder.Writes-before) }, Events: make(chan gateway.Event, 9)}
+		a := &message.Message{Until: until}
+		a.ID, a.Topic, a.Dest = "A1", "reading", "A"
+		r.Tell(gateway.Arrived{Message: a, Reply: func(gateway.Reply) {}})
+		stop, ended := make(chan struct{}), make(chan bool)
+		go func() { r.Run(stop); close(ended) }()
+		select {
+		case left := <-asked:
+			fmt.Println("told", left)
+		case <-time.After(200 * time.Millisecond):
+			fmt.Println("not sent")
+		}
+		close(stop)
+		<-ended
+		partner.Close()
+	}
+	// Output:
+	// told 3000m
+	// not sent
+}
+
+// nobody is a platform that answers nothing.
+type nobody struct{}
+
+func (nobody) Watch(func(gateway.Event))                  {}
+func (nobody) Fetch(func(gateway.Event))                  {}
+func (nobody) Notify(gateway.Notify, func(gateway.Event)) {}
--- a/push/call.go
+++ b/push/call.go
@@ -19,6 +19,9 @@
 	wrapping = 256      // what stands round a message there
 )
 
+// LeastWait is the least time that a call can tell its endpoint, in seconds.
+const LeastWait = 1e-3
+
 // Fits tells whether one more message fits the body of a call.
 func Fits(list []*message.Message, m *message.Message) bool {
 	size := 0
