Answers count until a tick before the first TTL in their call: a TTL is known later here than where it counts from

Read in the code: intake counts X-Budget from when it decoded the request, PROTOCOL from when the client sent it, so that a call kept to the first TTL still ends some milliseconds after it.

At fault: Timeout = h.until - now in Place, and the TTL itself as bound in gateway.join. The bound is the settings' tick, by which what is known is read late; the module tells it (Counts). It does harm where answers take less than a tick and come in the last one. Test: Example_lastTick.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -151,9 +151,10 @@
 	g.tried, g.phase = now, 0.5+m.rng.float()
 	h.pushes++
 	h.lastSent = now
-	wait := m.patience(g, end, h)
-	h.hurried = h.until-now < wait
-	return Answer{Do: Push, Ntf: h.ID, Endpoint: e.ID, Timeout: min(wait, h.until-now),
+	// A TTL counts from when its client sent it, known here later: an answer in its last tick may be late.
+	wait, counts := m.patience(g, end, h), max(0, h.until-m.pushes.Tick-now)
+	h.hurried = counts < wait
+	return Answer{Do: Push, Ntf: h.ID, Endpoint: e.ID, Timeout: min(wait, counts), Counts: counts,
 		Within: m.knownUntil(h) - now,
 		Fresh:  h.topic.Repeat == OnceOnly && m.scarce[e.Kind] > now} // a kept connection may break under it
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1053,3 +1053,15 @@
 	// 1.40  push A3 to A
 	// 1.40  push A4 to A anew
 }
+
+// An answer in the last tick of a TTL may be late by the count of the client who set it: none is waited for then.
+func Example_lastTick() {
+	d := newDesk(8, 40, "A")
+	d.take("reading", "A1")
+	d.now = 119
+	_, id := d.m.Wait(d.now)
+	a := d.m.Place(d.now, d.hand[id])
+	fmt.Printf("%s waits %.3f, counts %.3f\n", a.Ntf, a.Timeout, a.Counts)
+	// Output:
+	// A1 waits 0.995, counts 0.995
+}
--- a/decide/types.go
+++ b/decide/types.go
@@ -99,6 +99,7 @@
 	Ntf      string
 	Endpoint string
 	Timeout  float64
+	Counts   float64 // Push: an answer counts for so long, whoever shares the call
 	Within   float64 // Push: it is to start within this, or to be given back; +Inf for no bound of its own
 	Fresh    bool    // Push: on a new connection
 	RetryIn  float64
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,7 +26,7 @@
 	Items    []*message.Message
 	Conn     *push.Conn // once it is sent, the connection that it is out on
 	until    float64    // when the longest of its messages' waits is over, or the first of their TTLs
-	first    float64    // when that TTL ends
+	first    float64    // until when an answer counts for all of them
 	placed   float64
 	fresh    bool // it goes on a new connection
 }
@@ -232,7 +232,7 @@
 				return
 			}
 			c.Items = append(c.Items, it.message)
-			c.first = min(c.first, it.message.Until)
+			c.first = min(c.first, now+a.Counts)
 			c.until = min(max(c.until, until), c.first)
 			c.fresh = c.fresh || a.Fresh
 			it.call = c
@@ -240,7 +240,7 @@
 		}
 	}
 	e, _ := g.dir.Find(it.message.Dest, a.Endpoint)
-	it.call = &Call{Endpoint: e, Items: []*message.Message{it.message}, until: until, first: it.message.Until,
+	it.call = &Call{Endpoint: e, Items: []*message.Message{it.message}, until: until, first: now + a.Counts,
 		placed: now, fresh: a.Fresh}
 	g.forming = append(g.forming, it.call)
 }
