--- a/gateway/run_test.go
+++ b/gateway/run_test.go
@@ -33,13 +33,8 @@
 		if err != nil {
 			panic(err)
 		}
-		known := directory.New()
-		m := decide.New(1, known, []decide.Topic{{Name: "reading", Repeat: decide.Repeatable, Objective: 2, TTL: 20}},
-			decide.Slots{Calls: 6, Held: 9}, decide.Routes{}, decide.Returns{}, decide.Pushes{Most: 8}, decide.Shares{}, false)
-		r := &gateway.Runner{Gateway: gateway.New(m, known, book.Room, nil, nil, 1), Ledger: book, Log: zerolog.Nop(),
-			Clock: func() float64 { return 1000 }, Events: make(chan gateway.Event, 9)}
-		a := &message.Message{Until: 1020}
-		a.ID, a.Topic, a.Dest = "A1", "reading", "A"
+		r := runner(book, func() float64 { return 1000 })
+		a := reading(1020)
 		if err := book.Write(ledger.Record{Kind: ledger.Taken, ID: "A1", Message: a}); err != nil {
 			panic(err)
 		}
@@ -68,15 +63,9 @@
 		if err != nil {
 			panic(err)
 		}
-		known := directory.New()
-		known.Replace([]directory.Endpoint{{ID: "A", Dest: "A", Kind: "bulk", Stage: directory.Ready, Addr: strings.TrimPrefix(partner.URL, "http://")}})
-		m := decide.New(1, known, []decide.Topic{{Name: "reading", Repeat: decide.Repeatable, Objective: 2, TTL: 20}},
-			decide.Slots{Calls: 6, Held: 9}, decide.Routes{}, decide.Returns{}, decide.Pushes{Most: 8, Tick: 0.005}, decide.Shares{}, false)
 		before := folder.Writes
-		r := &gateway.Runner{Gateway: gateway.New(m, known, book.Room, nil, nil, 1), Ledger: book, Log: zerolog.Nop(), Platform: nobody{},
-			Clock: func() float64 { return 1000 + 0.5*float64(folder.Writes-before) }, Events: make(chan gateway.Event, 9)}
-		a := &message.Message{Until: until}
-		a.ID, a.Topic, a.Dest = "A1", "reading", "A"
+		r := runner(book, func() float64 { return 1000 + 0.5*float64(folder.Writes-before) }, strings.TrimPrefix(partner.URL, "http://"))
+		a := reading(until)
 		r.Tell(gateway.Arrived{Message: a, Reply: func(gateway.Reply) {}})
 		stop, ended := make(chan struct{}), make(chan bool)
 		go func() { r.Run(stop); close(ended) }()
@@ -95,6 +84,25 @@
 	// not sent
 }
 
+// runner runs a gateway over a ledger, by a clock, with destination A behind the addresses.
+func runner(book *ledger.Ledger, clock func() float64, addrs ...string) *gateway.Runner {
+	known := directory.New()
+	for _, addr := range addrs {
+		known.Change([]directory.Endpoint{{ID: addr, Dest: "A", Kind: "bulk", Stage: directory.Ready, Addr: addr}})
+	}
+	m := decide.New(1, known, []decide.Topic{{Name: "reading", Repeat: decide.Repeatable, Objective: 2, TTL: 20}},
+		decide.Slots{Calls: 6, Held: 9}, decide.Routes{}, decide.Returns{}, decide.Pushes{Most: 8, Tick: 0.005}, decide.Shares{}, false)
+	return &gateway.Runner{Gateway: gateway.New(m, known, book.Room, nil, nil, 1), Ledger: book, Log: zerolog.Nop(),
+		Platform: nobody{}, Clock: clock, Events: make(chan gateway.Event, 9)}
+}
+
+// reading is a message A1 for destination A.
+func reading(until float64) *message.Message {
+	m := &message.Message{Until: until}
+	m.ID, m.Topic, m.Dest = "A1", "reading", "A"
+	return m
+}
+
 // nobody is a platform that answers nothing.
 type nobody struct{}
 
