--- a/dispatcher/child_test.go
+++ b/dispatcher/child_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"orchiddrift/dispatcher"
 )
 
@@ -29,7 +31,7 @@
 		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: most, Max: most}); err != nil {
 			panic(err)
 		}
-		if err := dispatcher.Run(os.Getenv, dispatcher.Logs{}); err != nil {
+		if err := dispatcher.Run(os.Getenv, dispatcher.Logs{To: os.Stderr, Level: zerolog.InfoLevel}); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
