Calls have numbers that their records name: no end takes back another process's call

Changed: each call has a number, which Began, NotRun and MayRun name; an end counts for its own call alone; an end without a beginning is not written. What a restart concludes follows from records that nothing later takes back. A call that was given back unsent counts as no push after a restart either. A listener that cannot be had for seconds no longer holds up what is owed.

Expected outputs of the gateway's examples: the ends of calls that never began are gone, numbers are there; nothing else.

--- a/cmd/orchiddrift/ledger.go
+++ b/cmd/orchiddrift/ledger.go
@@ -22,36 +22,9 @@
 	c.PersistentFlags().Float64Var(&diskMB, "disk-mb", 3, "the folder's limit, as the dispatcher is configured with")
 	show := func(to io.Writer, r ledger.Report, owed []ledger.Owed) error {
 		if asJSON {
-			type line struct {
-				ID     string  `json:"id"`
-				Topic  string  `json:"topic"`
-				Dest   string  `json:"dest"`
-				Pushes int     `json:"pushes"`
-				MayRun bool    `json:"may_have_run"`
-				Notice string  `json:"notice,omitempty"`
-				Until  float64 `json:"until"`
-			}
-			lines := []line{}
-			for _, o := range owed {
-				l := line{ID: o.Message.ID, Topic: o.Message.Topic, Dest: o.Message.Dest, Pushes: o.Message.Pushes,
-					MayRun: o.Message.RanAt > 0, Until: o.Message.Until}
-				if o.Notice != nil {
-					l.Notice = o.Notice.Outcome
-				}
-				lines = append(lines, l)
-			}
-			e := json.NewEncoder(to)
-			e.SetIndent("", " ")
-			return e.Encode(map[string]any{"report": r, "owed": lines})
+			return showJSON(to, r, owed)
 		}
-		t := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
-		fmt.Fprintf(t, "segments\t%d, and %d free files\n", r.Segments, r.Free)
-		fmt.Fprintf(t, "records\t%d in %d bytes\n", r.Records, r.Bytes)
-		fmt.Fprintf(t, "owed\t%d, counted as %d bytes\n", r.Owed, r.Live)
-		for _, d := range r.Damaged {
-			fmt.Fprintf(t, "damaged\t%s from byte %d on, %d bytes\n", d.File, d.At, d.Bytes)
-		}
-		return t.Flush()
+		return showText(to, r, owed)
 	}
 	read := func(path string) (ledger.Report, []ledger.Owed, error) {
 		folder, err := disk.ReadDir(path)
@@ -102,3 +75,76 @@
 	)
 	return c
 }
+
+// owedLine is what the ledger says of a notification, with the numbers of its calls as the log of a dispatcher has them.
+type owedLine struct {
+	ID     string    `json:"id"`
+	Topic  string    `json:"topic"`
+	Dest   string    `json:"dest"`
+	Pushes int       `json:"pushes"`
+	State  string    `json:"state"`
+	MayRun bool      `json:"may_have_run"`
+	Ran    *callLine `json:"ran,omitempty"`  // the first call that may have run
+	Last   *callLine `json:"last,omitempty"` // the last call, where its records are still there
+	Notice string    `json:"notice,omitempty"`
+	Until  float64   `json:"until"`
+}
+
+// callLine is a call; times are seconds of the dispatcher's clock.
+type callLine struct {
+	Call uint64  `json:"call"`
+	At   float64 `json:"at"`
+	To   string  `json:"to"`
+	Zone string  `json:"zone,omitempty"`
+	End  string  `json:"end,omitempty"`
+}
+
+// lineOf says what the ledger holds of a notification.
+func lineOf(o ledger.Owed) owedLine {
+	m := o.Message
+	l := owedLine{ID: m.ID, Topic: m.Topic, Dest: m.Dest, Pushes: m.Pushes, State: o.State().String(), MayRun: m.RanAt > 0, Until: m.Until}
+	if m.RanAt > 0 {
+		l.Ran = &callLine{Call: m.RanCall, At: m.RanAt, To: m.RanTo, Zone: m.RanZone}
+	}
+	if o.Last.End != ledger.NeverCalled {
+		l.Last = &callLine{Call: o.Last.Call, At: o.Last.At, To: o.Last.To, End: string(o.Last.End)}
+	}
+	if o.Notice != nil {
+		l.Notice = o.Notice.Outcome
+	}
+	return l
+}
+
+// showJSON prints the report and all that is owed as one object.
+func showJSON(to io.Writer, r ledger.Report, owed []ledger.Owed) error {
+	lines := []owedLine{}
+	for _, o := range owed {
+		lines = append(lines, lineOf(o))
+	}
+	e := json.NewEncoder(to)
+	e.SetIndent("", " ")
+	return e.Encode(map[string]any{"report": r, "owed": lines})
+}
+
+// showText prints the report and a line for each notification owed.
+func showText(to io.Writer, r ledger.Report, owed []ledger.Owed) error {
+	t := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "segments\t%d, and %d free files\n", r.Segments, r.Free)
+	fmt.Fprintf(t, "records\t%d in %d bytes\n", r.Records, r.Bytes)
+	fmt.Fprintf(t, "owed\t%d, counted as %d bytes\n", r.Owed, r.Live)
+	for _, d := range r.Damaged {
+		fmt.Fprintf(t, "damaged\t%s from byte %d on, %d bytes\n", d.File, d.At, d.Bytes)
+	}
+	for _, o := range owed {
+		l := lineOf(o)
+		fmt.Fprintf(t, "%s\t%s to %s, %d pushes, %s", l.ID, l.Topic, l.Dest, l.Pushes, l.State)
+		if l.Ran != nil {
+			fmt.Fprintf(t, ": call %d of %.3f to %q in zone %q", l.Ran.Call, l.Ran.At, l.Ran.To, l.Ran.Zone)
+		}
+		if l.Last != nil {
+			fmt.Fprintf(t, "; last call %d of %.3f to %q %s", l.Last.Call, l.Last.At, l.Last.To, l.Last.End)
+		}
+		fmt.Fprintln(t)
+	}
+	return t.Flush()
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -104,7 +104,7 @@
 			m.spread(now, d, h)
 		}
 		if ntf.RanAt > 0 { // before a restart: it may still run
-			h.mayRun, h.zone, h.rest = ntf.RanAt, m.zone(ntf.Dest, ntf.RanTo), now+m.pushes.Settle
+			h.mayRun, h.zone, h.rest = ntf.RanAt, cmp.Or(ntf.RanZone, m.zone(ntf.Dest, ntf.RanTo)), now+m.pushes.Settle
 		}
 		m.held[h.ID] = h
 		if first {
@@ -152,13 +152,13 @@
 	}
 	g.sent = last(g.sent, mark{now, weight}, many)
 	g.tried, g.phase = now, 0.5+m.rng.float()
-	h.pushes, h.lastSent = h.pushes+1, now
+	h.pushes, h.lastSent, h.lastZone = h.pushes+1, now, e.Zone
 	// A TTL counts from when its client sent it, known here later: an answer in its last tick may be late.
 	wait, counts := m.patience(g, end, h), max(0, h.until-m.pushes.Tick-now)
 	h.hurried = counts < wait
 	return Answer{Do: Push, Ntf: h.ID, Endpoint: e.ID, Timeout: min(wait, counts), Counts: counts,
-		Within: m.knownUntil(h) - now,
-		Fresh:  h.topic.Repeat == OnceOnly && m.scarce[e.Kind] > now} // a kept connection may break under it
+		Within: m.knownUntil(h) - now, First: h.first(),
+		Fresh: h.topic.Repeat == OnceOnly && m.scarce[e.Kind] > now} // a kept connection may break under it
 }
 
 // After takes in how a push ended and tells what becomes of its notification.
@@ -204,7 +204,7 @@
 	switch o.Result {
 	case Failed, TimedOut, Reset, Cancelled:
 		if h.mayRun == never {
-			h.mayRun, h.zone = h.lastSent, m.zone(h.Dest, o.Endpoint)
+			h.mayRun, h.zone = h.lastSent, h.lastZone
 		}
 		if o.Result != Failed {
 			h.rest = now + m.pushes.Settle
--- a/decide/state.go
+++ b/decide/state.go
@@ -60,12 +60,21 @@
 	beyond   bool // it came beyond its tenant's share
 	shed     bool // its place was taken by one worth more
 	lastSent float64
-	hurried  bool // its push's time-out was cut to the time left
+	lastZone string // where its last push went, as listed then: by its end the endpoint may be listed otherwise, or not at all
+	hurried  bool   // its push's time-out was cut to the time left
 }
 
 // due is when the objective ends.
 func (h *held) due() float64 { return h.until - h.topic.TTL + h.topic.Objective }
 
+// first is the first push that may have run.
+func (h *held) first() First {
+	if h.mayRun == never {
+		return First{}
+	}
+	return First{At: h.mayRun, Zone: h.zone}
+}
+
 // done tells that nothing more can come of it.
 func (h *held) done() bool { return h.over && !h.ending && h.call == nil }
 
@@ -235,6 +244,7 @@
 	return m.ends[id]
 }
 
+// zone is that of an endpoint as listed now, for pushes of which nobody kept it.
 func (m *Module) zone(dest, id string) string {
 	for _, e := range m.dir.Of(dest) {
 		if e.ID == id {
--- a/decide/types.go
+++ b/decide/types.go
@@ -34,11 +34,12 @@
 	Left   float64 // seconds in which it may still be delivered, when it came in
 
 	// What a dispatcher that restarts still owes comes with what became of it before.
-	Owed   bool
-	Ending bool    // its notice is not answered yet; that is all it needs
-	Pushes int     // pushes used
-	RanAt  float64 // when the first push that may have run was sent, 0 for none
-	RanTo  string  // and where to
+	Owed    bool
+	Ending  bool    // its notice is not answered yet; that is all it needs
+	Pushes  int     // pushes used
+	RanAt   float64 // when the first push that may have run was sent, 0 for none
+	RanTo   string  // where to
+	RanZone string  // and that endpoint's zone then; "" where that was not kept
 }
 
 // Result tells how a push ended.
@@ -104,11 +105,18 @@
 	Counts   float64 // Push: an answer counts for so long, whoever shares the call
 	Within   float64 // Push: it is to start within this, or to be given back; +Inf for no bound of its own
 	Fresh    bool    // Push: on a new connection
+	First    First   // Push: the first push of it that may have run
 	RetryIn  float64
 	Push     int
 	Body     string
 }
 
+// First is the first push of a notification that may have run.
+type First struct {
+	At   float64 // when it was sent; 0 for none
+	Zone string  // the zone that it was sent to
+}
+
 // Slots says how much may be out and held at once.
 type Slots struct {
 	Calls int            // calls out
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"errors"
 	"math"
-	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -80,11 +79,12 @@
 	agent := platform.NewAgent(c.Discovery, c.Known.Version, log)
 	r := &gateway.Runner{Gateway: gateway.New(p.module, dir, kept.ledger.Room, p.apart, p.batch, p.dial), Ledger: kept.ledger,
 		Platform: agent, Clock: kept.clock, Tick: p.tick, Log: log, Events: make(chan gateway.Event, events),
-		Each: c.Ledger.Sync == syncAlways, Dial: push.Dialer(system.Dial)}
+		Each: c.Ledger.Sync == syncAlways, Dial: push.Dialer(system.Dial), Metrics: gateway.NewMetrics()}
 	invariants := &invariant.Counters{Log: log, Strict: system.Strict}
 	listBy := kept.clock() + firstWord.Seconds()
 	r.Gateway.Check(invariant.NewSends(invariants, invariant.Margins{Grace: p.grace, Rest: p.module.Settle()}, listBy))
 	log.Info().Int("owed", len(kept.owed)).Int("taken_over", kept.found.TakenOver).Int("listed", len(c.Known.Servers)).Msg("start")
+	r.Gateway.NumberCalls(kept.ledger.LastCall())
 	r.Gateway.Await(listBy)
 	r.Restore(kept.owed)
 	go agent.SendNotices()
@@ -92,22 +92,36 @@
 		agent.Follow(r.Tell)
 	}
 	go follow(reloads, system, c, agent, log)
-	var ln net.Listener
-	if err := start.try("listener", func() (err error) { ln, err = system.Listen(c.Listen); return err }); err != nil {
-		return ended(err)
+	ln, err := system.Listen(c.Listen)
+	if err != nil && !passes(err) {
+		return err
 	}
 	server := intake.NewServer(kept.clock, p.module.TTL, r.Tell, descriptors(c.Limits.Sockets)/2, log)
-	server.Count(invariants)
+	server.Count(invariants, r.Metrics.Write)
 	over, failed := make(chan struct{}), make(chan error, 1)
 	end := sync.OnceFunc(func() { close(over) })
+	fail := func(err error) {
+		failed <- err
+		end()
+	}
 	go func() {
-		if err := server.Serve(ln); err != nil {
-			failed <- err
-			end()
+		// What is owed since before goes on meanwhile: an address may be had only after seconds.
+		if ln == nil {
+			err = start.try("listener", func() (err error) { ln, err = system.Listen(c.Listen); return err })
+		}
+		switch {
+		case errors.Is(err, errStopped):
+		case err != nil:
+			fail(err)
+			return
+		default:
+			go func() {
+				if err := server.Serve(ln); err != nil {
+					fail(err)
+				}
+			}()
+			<-stops
 		}
-	}()
-	go func() {
-		<-stops
 		log.Info().Msg("stopping")
 		stop(server, r, end)
 	}()
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -14,6 +14,7 @@
 
 // Call is one call to an endpoint, for one message or for several that share it.
 type Call struct {
+	ID       uint64 // its number, once it is about to be sent; the ledger's records of its start and its end name it
 	Endpoint directory.Endpoint
 	Items    []*message.Message
 	Conn     *push.Conn // once it is sent, the connection that it is out on
@@ -48,7 +49,7 @@
 // time left takes others with it that could have waited.
 func (g *Gateway) join(now float64, a decide.Answer) {
 	it := g.hand[a.Ntf]
-	it.start = now + a.Within
+	it.start, it.first = now+a.Within, a.First
 	until := now + a.Timeout
 	for i := len(g.forming) - 1; i >= 0; i-- {
 		c := g.forming[i]
@@ -136,17 +137,22 @@
 }
 
 func (g *Gateway) begin(now float64, c *Call, conn *push.Conn) {
-	c.Conn, c.began = conn, now
+	g.calls++
+	c.ID, c.Conn, c.began = g.calls, conn, now
 	t := g.throttled(c.Endpoint)
 	if calls, span, ok := g.module.Recovery(now, c.Endpoint); ok {
 		g.checks.Recovering(now, c.Items[0].ID, t.String(), calls, span)
 	}
-	var records []ledger.Record
+	begin := Begin{Call: c}
 	for _, m := range c.Items {
 		g.checks.Sent(now, m.ID, invariant.Target{Throttle: t.String(), Endpoint: c.Endpoint.ID})
-		records = append(records, ledger.Record{Kind: ledger.Began, ID: m.ID, At: now, To: c.Endpoint.ID})
+		begin.Records = append(begin.Records, ledger.Record{Kind: ledger.Began, ID: m.ID, At: now, To: c.Endpoint.ID,
+			Zone: c.Endpoint.Zone, Call: c.ID})
+		if first := g.hand[m.ID].first; first.At > 0 {
+			begin.Repeats = append(begin.Repeats, Repeat{ID: m.ID, Since: now - first.At, Group: g.module.Topic(m.Topic).Group, Zone: first.Zone})
+		}
 	}
-	g.do(Begin{c, records})
+	g.do(begin)
 }
 
 // on tells that a message is still out on a call.
@@ -184,15 +190,13 @@
 func (g *Gateway) end(now float64, c *Call, list []*message.Message, a push.Answer) {
 	var records []ledger.Record
 	for i, m := range list {
-		kind := ledger.NotRun
-		if o := a.Ends[i].Outcome(); o.Over {
-			kind = ledger.Over
-		} else if a.Ends[i].MayHaveRun() {
-			kind = ledger.MayRun
+		if r, ok := endRecord(c, m.ID, a.Ends[i]); ok {
+			records = append(records, r)
 		}
-		records = append(records, ledger.Record{Kind: kind, ID: m.ID})
 	}
-	g.do(Keep{records})
+	if len(records) > 0 {
+		g.do(Keep{records})
+	}
 	for i, m := range list {
 		it := g.hand[m.ID]
 		it.call = nil
@@ -207,6 +211,22 @@
 	}
 }
 
+// endRecord is what the ledger is told of how a call ended for a message. A call that was never about to be sent, as its
+// connection did not come up, has no start there, and its end says nothing: written all the same it could be taken for
+// the end of another call, of a process before, that may have run (incident of 2026-12-02).
+func endRecord(c *Call, id string, end push.End) (ledger.Record, bool) {
+	o := end.Outcome()
+	switch {
+	case o.Over:
+		return ledger.Record{Kind: ledger.Over, ID: id}, true
+	case c.ID == 0:
+		return ledger.Record{}, false
+	case end.MayHaveRun():
+		return ledger.Record{Kind: ledger.MayRun, ID: id, Call: c.ID}, true
+	}
+	return ledger.Record{Kind: ledger.NotRun, ID: id, Call: c.ID, Unsent: o.Unsent}, true
+}
+
 // MayBegin tells whether a call may still be sent: nothing that was told since it was placed forbids it.
 func (g *Gateway) MayBegin(now float64, c *Call) bool {
 	listed, _ := g.dir.Find(c.Endpoint.Dest, c.Endpoint.ID)
--- a/gateway/crossing_test.go
+++ b/gateway/crossing_test.go
@@ -129,11 +129,10 @@
 	// 0.00  accept B1
 	// 0.00  dial B1 for B1 within 1.50
 	// 0.00  nothing to wait for
-	// 0.00  begin B1 to B1 within 4.00, keep began B1
+	// 0.00  begin B1 to B1 within 4.00, keep began B1 #1
 	// 0.00  keep over B1
 	// 0.00  accept A1
 	// 0.10  dial A1 for A1 within 1.50
 	// 0.10  shut
-	// 0.10  keep notrun A1
 	// 0.20  dial A1 for A1 within 1.50
 }
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -117,6 +117,15 @@
 type Begin struct {
 	Call    *Call
 	Records []ledger.Record
+	Repeats []Repeat // of the messages in it, those whose earlier calls may have run
+}
+
+// Repeat is a message that is called again, for the log.
+type Repeat struct {
+	ID    string
+	Since float64 // seconds since the first call that may have run
+	Group string  // within which the first call is known: all endpoints of the destination, or those of its zone
+	Zone  string  // and that zone
 }
 
 // Shut closes a connection.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,7 @@
 	past     map[string]float64      // messages that are over, until their TTL ends
 	forming  []*Call                 // the calls of this turn
 	overfull []*Call                 // and what they had no room for
+	calls    uint64                  // the number of the call that was about to be sent last
 	leaving  bool
 	stopped  bool
 	await    float64 // no push starts before discovery's first word, or this
@@ -47,8 +48,9 @@
 type item struct {
 	message *message.Message
 	call    *Call
-	ending  bool    // its notice is out
-	start   float64 // its push may start until then
+	ending  bool         // its notice is out
+	start   float64      // its push may start until then
+	first   decide.First // its first push that may have run, as its present one was placed
 }
 
 // New returns a gateway with nothing in hand.
@@ -61,6 +63,9 @@
 // Check lets each call be checked as it is sent, by what is told in Step.
 func (g *Gateway) Check(checks *invariant.Sends) { g.checks = checks }
 
+// NumberCalls lets calls have numbers above one: none that the ledger may have of an earlier call.
+func (g *Gateway) NumberCalls(above uint64) { g.calls = max(g.calls, above) }
+
 // Await lets no push start before discovery's first word, or that time: the list known at the start may be old, and what
 // discovery has counts as told from the first moment on. It does harm where discovery is down, by that time.
 func (g *Gateway) Await(until float64) { g.await = until }
--- a/gateway/late_test.go
+++ b/gateway/late_test.go
@@ -39,13 +39,12 @@
 	// 0.00  accept A1
 	// 0.00  dial A1 for A1 within 1.50
 	// 0.00  nothing to wait for
-	// 0.00  begin A1 to A1 within 4.00, keep began A1
+	// 0.00  begin A1 to A1 within 4.00, keep began A1 #1
 	// 4.00  nothing to wait for
-	// 4.00  keep mayrun A1
+	// 4.00  keep mayrun A1 #1
 	// 4.00  accept A2
 	// 4.00  dial Ab for A1+A2 within 1.50
-	// 4.02  keep notrun A1, notrun A2
-	// 7.10  begin A1+A2 to Ab within 4.00, keep began A1, began A2
+	// 7.10  begin A1+A2 to Ab within 4.00, keep began A1 #2, began A2 #2
 }
 
 // A wait that is here as the turns are due is known before they are: both are there as the loop looks. Before, chance
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rs/zerolog"
 
+	"orchiddrift/ledger"
 	"orchiddrift/message"
 	"orchiddrift/push"
 )
@@ -29,15 +30,51 @@
 	if a.Reported {
 		line = line.Float64("share", a.Share).Float64("limit", a.Limit)
 	}
+	if c.ID > 0 {
+		line = line.Uint64("call", c.ID)
+	}
 	return line.Str("ntf", m.ID).Str("topic", m.Topic).Str("dest", m.Dest).Str("endpoint", c.Endpoint.ID)
 }
 
+// logOwed tells of each message that a process before left behind what the ledger says of it, so that a log can be laid beside
+// the log of that process and beside "orchiddrift ledger inspect".
+func (r *Runner) logOwed(owed []ledger.Owed) {
+	now := r.Clock()
+	for _, o := range owed {
+		m := o.Message
+		line := r.Log.Info().Str("ntf", m.ID).Str("topic", m.Topic).Str("dest", m.Dest).Int("pushes", m.Pushes).
+			Float64("left", m.Until-now).Stringer("state", o.State())
+		if o.Last.End != ledger.NeverCalled {
+			line = line.Uint64("last_call", o.Last.Call).Float64("last_began", o.Last.At).Str("last_to", o.Last.To).Str("last_end", string(o.Last.End))
+		}
+		if m.RanAt > 0 {
+			line = line.Uint64("ran_call", m.RanCall).Float64("ran_at", m.RanAt).Float64("ran_ago", now-m.RanAt).
+				Str("ran_to", m.RanTo).Str("ran_zone", m.RanZone)
+		}
+		if o.Notice != nil {
+			line = line.Str("notice", o.Notice.Outcome)
+		}
+		line.Msg("owed")
+		r.Metrics.owed(o.State())
+	}
+}
+
+// logRepeats tells of each message in a call whose earlier call may have run how long ago that was and where it is known.
+func (r *Runner) logRepeats(b Begin) {
+	for _, x := range b.Repeats {
+		r.Log.Info().Str("ntf", x.ID).Uint64("call", b.Call.ID).Str("endpoint", b.Call.Endpoint.ID).Float64("since_first", x.Since).
+			Str("group", x.Group).Str("zone", x.Zone).Str("endpoint_zone", b.Call.Endpoint.Zone).Msg("repeat")
+		r.Metrics.repeated()
+	}
+}
+
 // log writes the lines that on-call staff read.
 func (r *Runner) log(e Event) {
 	switch e := e.(type) {
 	case Ended:
 		r.trace(e.Call, "push ended", e.Answer)
 		for i, m := range e.Call.Items {
+			r.Metrics.ended(e.Answer.Ends[i])
 			if end := e.Answer.Ends[i]; end != push.Done {
 				about(r.Log.Info(), e.Call, m, e.Answer).Stringer("end", end).Float64("wait", e.Answer.Wait).
 					Float64("after", r.Clock()-e.Call.placed).Msg("push not delivered")
@@ -45,7 +82,12 @@
 		}
 	case Connected:
 		if e.Conn == nil {
-			r.Log.Info().Str("endpoint", e.Call.Endpoint.ID).Str("dest", e.Call.Endpoint.Dest).
+			ids := make([]string, len(e.Call.Items))
+			for i, m := range e.Call.Items {
+				ids[i] = m.ID
+				r.Metrics.ended(e.End)
+			}
+			r.Log.Info().Str("endpoint", e.Call.Endpoint.ID).Str("dest", e.Call.Endpoint.Dest).Strs("ntfs", ids).
 				Stringer("end", e.End).Msg("no connection")
 		}
 	case ToldLate:
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -28,6 +28,7 @@
 	Events    chan Event
 	Dial      push.Dialer // nil for this machine's
 	Each      bool        // each event's records are written, and synced, by themselves
+	Metrics   *Metrics    // nil for none
 	listLost  bool        // the log has said so
 	batch     []Effect
 	unwritten bool // the last write failed, and the log has said so
@@ -123,6 +124,7 @@
 
 // Restore takes back what is owed since before a restart.
 func (r *Runner) Restore(owed []ledger.Owed) {
+	r.logOwed(owed)
 	r.batch = append(r.batch, r.Gateway.Restore(r.Clock(), owed)...)
 	r.flush()
 }
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -140,9 +140,13 @@
 			return
 		}
 		unkept[e.Message.ID] = true
+		r.Metrics.refused(LedgerFailed)
 		e.Reply(Reply{Why: LedgerFailed})
 		r.step(Unkept{e.Message.ID})
 	case Answer:
+		if !e.Taken {
+			r.Metrics.refused(e.Why)
+		}
 		if unkept[e.ID] { // it came twice, and the first was refused
 			e.Reply = Reply{Why: LedgerFailed}
 		}
@@ -183,6 +187,7 @@
 		r.Gateway.Pause(r.Clock() + diskRetry)
 	} else if r.Gateway.MayBegin(r.Clock(), e.Call) {
 		r.trace(e.Call, "push", push.Answer{})
+		r.logRepeats(e)
 		go r.call(e.Call)
 		return
 	}
@@ -192,6 +197,7 @@
 }
 
 func (r *Runner) notify(n Notify) {
+	r.Metrics.noticed(n.Outcome)
 	r.Log.Info().Str("ntf", n.ID).Str("dest", n.Dest).Str("outcome", n.Outcome).Float64("retry_in", n.RetryIn).
 		Float64("left", n.Left).Msg("notice")
 	r.Platform.Notify(n, r.Tell)
@@ -209,6 +215,9 @@
 	if took := r.Clock() - before; took > lateWrite {
 		r.Log.Warn().Float64("took", took).Int("records", len(records)).Msg("ledger slow: final answers may be late")
 	}
+	if err != nil {
+		r.Metrics.unwritten()
+	}
 	if err != nil && !r.unwritten {
 		r.Log.Error().Err(err).Msg("ledger not written")
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -37,6 +38,7 @@
 	http    *fasthttp.Server
 	clients *clients
 	leave   atomic.Bool
+	metrics func(io.Writer) // beside the invariants' counts; nil for none
 }
 
 // NewServer returns a server that hands each message to tell, and holds so many connections at most.
@@ -52,8 +54,10 @@
 	return s
 }
 
-// Count lets what must not happen be counted, and the counts be read at /_metrics.
-func (s *Server) Count(invariants *invariant.Counters) { s.clients.invariants = invariants }
+// Count lets what must not happen be counted, and the counts be read at /_metrics, with what more is written there.
+func (s *Server) Count(invariants *invariant.Counters, more func(io.Writer)) {
+	s.clients.invariants, s.metrics = invariants, more
+}
 
 // Serve answers on a listener until Close.
 func (s *Server) Serve(ln net.Listener) error {
@@ -108,6 +112,9 @@
 	case path == "/_metrics" && ctx.IsGet():
 		ctx.SetContentType("text/plain; version=0.0.4")
 		_ = s.clients.invariants.Write(ctx)
+		if s.metrics != nil {
+			s.metrics(ctx)
+		}
 	case path != "/api" && path != "/_health" && path != "/_metrics":
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	case path != "/api" || !ctx.IsPost():
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -14,13 +14,13 @@
 
 // The kinds of record.
 const (
-	Taken   Kind = iota + 1 // taken on, with all of it
-	Began                   // a push is about to be written
-	NotRun                  // the push that was out never ran
-	MayRun                  // the push that was out may have run
-	Noticed                 // it is to be ended by a notice
-	Over                    // nothing more is owed
-	Anew                    // all that is needed of it, in one: it is there whole or not at all
+	Taken    Kind = iota + 1 // taken on, with all of it
+	Began                    // a push is about to be written
+	NotRun                   // the call that it names never ran
+	MayRun                   // the call that it names may have run
+	Noticed                  // it is to be ended by a notice
+	Over                     // nothing more is owed
+	Snapshot                 // all that is needed of it, in one: it is there whole or not at all
 )
 
 // Record is one line of the ledger.
@@ -30,15 +30,21 @@
 	Message *message.Message // Taken
 	At      float64          // Began: when
 	To      string           // Began: the endpoint
+	Zone    string           // Began: the endpoint's zone, as listed then
+	Call    uint64           // Began, NotRun, MayRun: the call's number; 0 in records of versions that had none
+	Unsent  bool             // NotRun: nothing of it was sent, and it counts as no push
 	Outcome string           // Noticed: its wording
 	RetryIn float64          // Noticed: seconds, 0 for none
-	Pushes  int              // Taken: pushes so far, where it is part of Anew
+	Pushes  int              // Taken: pushes so far, where it is part of a snapshot
 	Seq     int              // Taken: its place in the order of takings
-	Parts   []Record         // Anew
+	Parts   []Record         // Snapshot
 }
 
 var errTorn = errors.New("torn record")
 
+// Records of earlier versions lack the fields that came later: a Taken ends before Seq, or before RanZone and RanCall, a
+// Began before Zone, a NotRun and a MayRun before Call. Those versions pass over what they do not know.
+
 // encode appends a record's fields to b.
 func encode(b []byte, r Record) []byte {
 	b = append(b, byte(r.Kind))
@@ -53,12 +59,19 @@
 		b = putFloat(putFloat(b, m.Until), m.RanAt)
 		b = binary.AppendUvarint(b, uint64(r.Pushes))
 		b = binary.AppendUvarint(b, uint64(r.Seq))
-	case Anew:
+		if m.RanAt > 0 {
+			b = binary.AppendUvarint(putText(b, m.RanZone), m.RanCall)
+		}
+	case Snapshot:
 		for _, part := range r.Parts {
 			b = putText(b, string(encode(nil, part)))
 		}
 	case Began:
-		b = putText(putFloat(b, r.At), r.To)
+		b = putText(putText(putFloat(b, r.At), r.To), r.Zone)
+		b = binary.AppendUvarint(b, r.Call)
+	case NotRun, MayRun:
+		b = binary.AppendUvarint(b, r.Call)
+		b = append(b, flag(r.Unsent))
 	case Noticed:
 		b = putFloat(putText(b, r.Outcome), r.RetryIn)
 	}
@@ -84,20 +97,30 @@
 		if r.Message, r.Pushes = m, int(f.uint()); len(f.b) > 0 { // the old single file has no such number
 			r.Seq = int(f.uint())
 		}
-	case Anew:
+		if len(f.b) > 0 {
+			m.RanZone, m.RanCall = f.text(), f.uint()
+		}
+	case Snapshot:
 		for len(f.b) > 0 {
 			part, err := decode([]byte(f.text()))
-			if err != nil || part.Kind == Anew {
+			if err != nil || part.Kind == Snapshot {
 				return Record{}, errTorn
 			}
 			r.Parts = append(r.Parts, part)
 		}
 	case Began:
 		r.At, r.To = f.float(), f.text()
+		if len(f.b) > 0 {
+			r.Zone, r.Call = f.text(), f.uint()
+		}
+	case NotRun, MayRun:
+		if len(f.b) > 0 {
+			r.Call, r.Unsent = f.uint(), f.uint() > 0
+		}
 	case Noticed:
 		r.Outcome, r.RetryIn = f.text(), f.float()
 	}
-	if f.short || r.Kind < Taken || r.Kind > Anew {
+	if f.short || r.Kind < Taken || r.Kind > Snapshot {
 		return Record{}, errTorn
 	}
 	return r, nil
@@ -127,6 +150,13 @@
 	return binary.LittleEndian.AppendUint64(b, math.Float64bits(v))
 }
 
+func flag(set bool) byte {
+	if set {
+		return 1
+	}
+	return 0
+}
+
 // fields reads a record's fields one after another; short tells that it held too little.
 type fields struct {
 	b     []byte
--- a/ledger/restarts_test.go
+++ b/ledger/restarts_test.go
@@ -1,6 +1,7 @@
 package ledger_test
 
 import (
+	"fmt"
 	"testing"
 
 	"orchiddrift/disk/faulty"
@@ -36,3 +37,76 @@
 		}
 	}
 }
+
+// began, notRun and mayRun are records of a call.
+func began(call uint64, at float64, to, zone string) ledger.Record {
+	return ledger.Record{Kind: ledger.Began, ID: "a", At: at, To: to, Zone: zone, Call: call}
+}
+
+func notRun(call uint64) ledger.Record {
+	return ledger.Record{Kind: ledger.NotRun, ID: "a", Call: call}
+}
+
+func mayRun(call uint64) ledger.Record {
+	return ledger.Record{Kind: ledger.MayRun, ID: "a", Call: call}
+}
+
+// What the records of several processes come to. Each list is one process's; after each the folder is read anew, twice, with
+// all that is owed written again between the two, and says the same.
+func TestProcesses(t *testing.T) {
+	unsent := notRun(2)
+	unsent.Unsent = true
+	for name, c := range map[string]struct {
+		processes [][]ledger.Record
+		want      string // when, where, in which zone and by which call it may have run first; pushes
+		last      ledger.AttemptEnd
+	}{
+		"one call left out":                    {[][]ledger.Record{{began(1, 1001, "e1", "a")}}, `1001 e1 a 1, 1 pushes`, ledger.Unanswered},
+		"an end that names no call":            {[][]ledger.Record{{began(1, 1001, "e1", "a")}, {notRun(0)}}, `1001 e1 a 1, 1 pushes`, ledger.Unanswered},
+		"an end of a call that never began":    {[][]ledger.Record{{began(1, 1001, "e1", "a")}, {notRun(2)}}, `1001 e1 a 1, 1 pushes`, ledger.Unanswered},
+		"a second call that never ran":         {[][]ledger.Record{{began(1, 1001, "e1", "a")}, {began(2, 1003, "e2", "b"), notRun(2)}}, `1001 e1 a 1, 2 pushes`, ledger.NeverRan},
+		"a second call that may have run":      {[][]ledger.Record{{began(1, 1001, "e1", "a")}, {began(2, 1003, "e2", "b"), mayRun(2)}, {notRun(0)}}, `1001 e1 a 1, 2 pushes`, ledger.MayHaveRun},
+		"both left out":                        {[][]ledger.Record{{began(1, 1001, "e1", "a")}, {began(2, 1003, "e2", "b")}, {}}, `1001 e1 a 1, 2 pushes`, ledger.Unanswered},
+		"the first never ran":                  {[][]ledger.Record{{began(1, 1001, "e1", "a"), notRun(1)}, {began(2, 1003, "e2", "b")}}, `1003 e2 b 2, 2 pushes`, ledger.Unanswered},
+		"a call that nothing was sent of":      {[][]ledger.Record{{began(1, 1001, "e1", "a"), notRun(1), began(2, 1003, "e2", "b"), unsent}}, `0   0, 1 pushes`, ledger.NeverRan},
+		"an end whose beginning is not there":  {[][]ledger.Record{{mayRun(7)}}, `1   0, 0 pushes`, ledger.NeverCalled},
+		"records of a version without numbers": {[][]ledger.Record{{began(0, 1001, "e1", ""), notRun(0)}, {began(3, 1004, "e2", "b"), notRun(3)}}, `1001 e1  0, 2 pushes`, ledger.NeverRan},
+	} {
+		f := faulty.New()
+		l, _, _, err := ledger.Open(f, ledger.Options{Limit: small})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := l.Write(taken("a", 5)); err != nil {
+			t.Fatal(err)
+		}
+		for i, records := range c.processes {
+			if err := l.Write(records...); err != nil {
+				t.Fatal(err)
+			}
+			f = f.Restart()
+			if l, _, _, err = ledger.Open(f, ledger.Options{Limit: small}); err != nil {
+				t.Fatal(err)
+			}
+			if i < len(c.processes)-1 {
+				continue
+			}
+			for round := range 2 {
+				_, owed, _, err := ledger.Open(f.Restart(), ledger.Options{Limit: small})
+				if err != nil || len(owed) != 1 {
+					t.Fatal(len(owed), err)
+				}
+				m := owed[0].Message
+				if got := fmt.Sprintf("%g %s %s %d, %d pushes", m.RanAt, m.RanTo, m.RanZone, m.RanCall, m.Pushes); got != c.want {
+					t.Errorf("%s, round %d: %s, want %s", name, round, got, c.want)
+				}
+				if round == 0 && owed[0].Last.End != c.last { // a snapshot keeps only what ended calls come to
+					t.Errorf("%s: the last call %q, want %q", name, owed[0].Last.End, c.last)
+				}
+				if err := l.Compact(); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	}
+}
--- a/seglog/seglog.go
+++ b/seglog/seglog.go
@@ -400,6 +400,9 @@
 	return 0
 }
 
+// Last is the number of the last record, failed writes included. It only grows, also from one process to the next.
+func (l *Log) Last() uint64 { return l.seq }
+
 // Used counts the files that hold records.
 func (l *Log) Used() int { return len(l.used) }
 
