Model check: series of processes on one folder in virtual time, judged from outside

Need: the invariants start empty with each process and read the ledger that they should doubt; no test played three processes on one folder.

lab/modelcheck plays the gateway, the decision module, the ledger and the calls through processes that are killed, and keeps its account outside them. Planted faults are seen: a forgotten call, its window, its zone, a window of the last call, a lost notice, two calls at once.

Found by it: a wait told in the very moment of a call's placing let the call go (waits <= placed; now <), seen on a clock that stands still; and a sleep that floats round to nothing let the loop spin, now a microsecond at least.

--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -230,7 +230,7 @@
 // MayBegin tells whether a call may still be sent: nothing that was told since it was placed forbids it.
 func (g *Gateway) MayBegin(now float64, c *Call) bool {
 	listed, _ := g.dir.Find(c.Endpoint.Dest, c.Endpoint.ID)
-	return listed.Stage == directory.Ready && g.waits[g.throttled(c.Endpoint)] <= c.placed && !g.stopped && g.quiet() <= now
+	return listed.Stage == directory.Ready && g.waits[g.throttled(c.Endpoint)] < c.placed && !g.stopped && g.quiet() <= now
 }
 
 // noSocketPause is the pause, in seconds, after this machine had no connection to give.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -46,6 +46,10 @@
 	afterStall = 0.05
 )
 
+// leastSleep is the shortest sleep of the loop: what is due within it is due by then, and a rest that floats round to
+// nothing would let the loop spin.
+const leastSleep = time.Microsecond
+
 // Run takes in events and lets notifications go as their turns come, until the gateway has finished or stop
 // is closed.
 func (r *Runner) Run(stop <-chan struct{}) {
@@ -73,7 +77,7 @@
 			wait = r.turns(turned)
 		}
 		r.due = r.Clock() + wait
-		timer.Reset(time.Duration(wait * float64(time.Second)))
+		timer.Reset(max(leastSleep, time.Duration(wait*float64(time.Second))))
 	}
 }
 
--- /dev/null
+++ b/lab/modelcheck/modelcheck_test.go
@@ -0,0 +1,163 @@
+package modelcheck
+
+import (
+	"flag"
+	"os"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"pgregory.net/rapid"
+)
+
+// randomSeries are the series that TestRandomSeries plays where the command line does not say how many.
+const randomSeries = "3000"
+
+// TestMain sets how many series are played at random.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.checks", randomSeries); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// played counts the series of a run of the tests.
+var played atomic.Int64
+
+// play plays a plan in virtual time.
+func play(t *testing.T, plan Plan, fault Fault) (found []string, operations []int) {
+	t.Helper()
+	played.Add(1)
+	synctest.Test(t, func(*testing.T) { found, operations = Run(plan, fault) })
+	return found, operations
+}
+
+// killed are the attempts that a process may make before it is killed.
+var killed = []Attempt{Refuse, ComeUp, GiveBack, Busy, Fail, Hang, Reset, CutShort, KillFirst, KillWhole}
+
+// runner plays plans on all cores, and stops after a few that were broken.
+type runner struct {
+	t      *testing.T
+	plans  chan Plan
+	done   sync.WaitGroup
+	before int64 // series played when it began
+	broken atomic.Int64
+}
+
+func newRunner(t *testing.T, each func(Plan) []string) *runner {
+	r := &runner{t: t, plans: make(chan Plan), before: played.Load()}
+	for range runtime.GOMAXPROCS(0) {
+		r.done.Go(func() {
+			for plan := range r.plans {
+				for _, text := range each(plan) {
+					if r.broken.Add(1) <= 10 {
+						t.Errorf("%v: %s", plan, text)
+					}
+				}
+			}
+		})
+	}
+	return r
+}
+
+func (r *runner) wait() {
+	close(r.plans)
+	r.done.Wait()
+	r.t.Logf("%d series", played.Load()-r.before)
+}
+
+// All series of three processes, each with one kind of attempt, killed after 1.2 s or by its attempt, and of a fourth to
+// which nothing happens: 1,000 for each kind of message.
+func TestThreeKilled(t *testing.T) {
+	r := newRunner(t, func(p Plan) []string { found, _ := play(t, p, None); return found })
+	for _, topic := range Topics {
+		for _, a := range killed {
+			for _, b := range killed {
+				for _, c := range killed {
+					r.plans <- Plan{topic, []Process{{Attempts: []Attempt{a}}, {Attempts: []Attempt{b}}, {Attempts: []Attempt{c}}}}
+				}
+			}
+		}
+	}
+	r.wait()
+}
+
+// All series of two processes of which one is killed at any of its operations: writes of files, of which nothing or a part is
+// there, connections, calls, notices and answers.
+func TestKilledAnywhere(t *testing.T) {
+	r := newRunner(t, func(p Plan) (found []string) {
+		for which := range p.Processes {
+			for _, keep := range []int{0, 30} {
+				for op := 1; ; op++ {
+					plan := Plan{p.Topic, append([]Process{}, p.Processes...)}
+					plan.Processes[which].KillOp, plan.Processes[which].Keep = op, keep
+					broken, operations := play(t, plan, None)
+					for _, text := range broken {
+						found = append(found, plan.String()+": "+text)
+					}
+					if operations[which] < op || len(found) > 0 {
+						break
+					}
+				}
+			}
+		}
+		return found
+	})
+	for _, topic := range Topics {
+		for _, a := range killed {
+			for _, b := range killed {
+				r.plans <- Plan{topic, []Process{{Attempts: []Attempt{a}}, {Attempts: []Attempt{b}}}}
+			}
+		}
+	}
+	r.wait()
+}
+
+// Longer series at random: up to five processes, several attempts in each, lists that are old, late, without an endpoint or
+// with one in another zone, folders that fail, planned stops, notices without an answer.
+func TestRandomSeries(t *testing.T) {
+	attempt := rapid.Map(rapid.IntRange(0, int(attempts)-1), func(i int) Attempt { return Attempt(i) })
+	process := rapid.Custom(func(t *rapid.T) Process {
+		p := Process{Attempts: rapid.SliceOfN(attempt, 1, 4).Draw(t, "attempts"), List: List(rapid.IntRange(0, int(lists)-1).Draw(t, "list")),
+			Ends: rapid.IntRange(0, 3).Draw(t, "ends") == 0, Unheard: rapid.IntRange(0, 3).Draw(t, "unheard") == 0,
+			Lives: rapid.Float64Range(0.05, 3).Draw(t, "lives")}
+		if rapid.IntRange(0, 2).Draw(t, "at") == 0 {
+			p.KillOp, p.Keep = rapid.IntRange(1, 20).Draw(t, "operation"), rapid.IntRange(0, 80).Draw(t, "keep")
+		}
+		if rapid.IntRange(0, 2).Draw(t, "disk") == 0 {
+			p.DiskFrom, p.DiskFor = rapid.Float64Range(0, 1.5).Draw(t, "from"), rapid.Float64Range(0.05, 1).Draw(t, "for")
+		}
+		return p
+	})
+	rapid.Check(t, func(rt *rapid.T) {
+		plan := Plan{rapid.SampledFrom(Topics).Draw(rt, "topic"), rapid.SliceOfN(process, 1, 5).Draw(rt, "processes")}
+		if found, _ := play(t, plan, None); len(found) > 0 {
+			rt.Fatalf("%v: %q", plan, found)
+		}
+	})
+}
+
+// The judge sees each planted fault.
+func TestPlanted(t *testing.T) {
+	hang, refuse, unheard := Process{Attempts: []Attempt{Hang}}, Process{Attempts: []Attempt{Refuse}}, Process{Attempts: []Attempt{Reset}, Unheard: true}
+	for name, c := range map[string]struct {
+		fault Fault
+		plan  Plan
+	}{
+		"forgotten call":     {ForgetBegan, Plan{"once", []Process{hang}}},
+		"forgotten window":   {ForgetBegan, Plan{"known", []Process{hang, refuse, refuse}}},
+		"forgotten zone":     {ForgetBegan, Plan{"zoned", []Process{hang, refuse}}},
+		"window of the last": {LaterWindow, Plan{"known", []Process{{Attempts: []Attempt{Fail}}, {Attempts: []Attempt{Refuse, Fail}, Lives: 1}, {Attempts: []Attempt{Refuse}, Lives: 0.6}}}},
+		"lost notice":        {LoseNotice, Plan{"once", []Process{unheard}}},
+		"two calls":          {TwoCalls, Plan{"free", nil}},
+	} {
+		if found, _ := play(t, c.plan, c.fault); len(found) == 0 {
+			t.Errorf("%s: not seen", name)
+		}
+		if found, _ := play(t, c.plan, None); len(found) > 0 {
+			t.Errorf("%s: broken without the fault: %q", name, found)
+		}
+	}
+}
--- /dev/null
+++ b/lab/modelcheck/plan.go
@@ -0,0 +1,111 @@
+// Package modelcheck plays one dispatcher's messages through a series of processes on one folder and judges what the world saw
+// of them. The gateway, the decision module, the ledger and the calls are the product's own; time, the folder, connections,
+// the list and the platform are the package's. It is meant for the virtual time of testing/synctest, in which a run of
+// ten seconds takes a millisecond, so that all short series can be tried.
+//
+// The judge keeps its account outside the processes: from the first byte of each call, the answers to hand-ins and the
+// notices. It reads neither the ledger nor what a process believes.
+package modelcheck
+
+import "fmt"
+
+// Times of a plan, in seconds.
+const (
+	TTL      = 9.0 // of each message
+	Window   = 3.0 // in which an endpoint knows a repeat, from its first byte on
+	LifeTime = 1.2 // of a process that is killed by time
+	DownTime = 0.2 // between a process and the next
+	slack    = 0.05
+)
+
+// Attempt is what becomes of an attempt to call an endpoint.
+type Attempt int
+
+// What can become of an attempt.
+const (
+	Refuse    Attempt = iota // no connection
+	ComeUp                   // the connection comes up late, then the call is answered
+	GiveBack                 // the destination tells a wait while the connection comes up
+	Busy                     // turned away: it never runs
+	Fail                     // answered with an error: it may have run
+	Hang                     // it runs and is not answered
+	Reset                    // it runs, and the connection breaks
+	CutShort                 // the connection breaks before the call's last byte
+	KillFirst                // the process is killed before the call's last byte
+	KillWhole                // the process is killed as the call's last byte is there
+	Serve                    // answered as delivered
+	attempts
+)
+
+// String is its name.
+func (a Attempt) String() string {
+	return [...]string{"refuse", "come up late", "give back", "busy", "fail", "hang", "reset", "cut short", "kill at first byte",
+		"kill at last byte", "serve"}[a]
+}
+
+// List is what a process is told of the endpoints.
+type List int
+
+// What it can be told.
+const (
+	Whole   List = iota // all of them, at once
+	Late                // after 0.8 s
+	Silent              // never: it has the list known at its start
+	Lacking             // without the first endpoint
+	Moved               // the first endpoint is in the other zone
+	lists
+)
+
+// Process is one process of a series.
+type Process struct {
+	Attempts []Attempt // of its attempts, in their order; the last goes for all that follow
+	List     List
+	KillOp   int     // killed instead of its outside operation of this number, from 1 on; 0: after LifeTime
+	Keep     int     // bytes of a file's write that are there all the same
+	Ends     bool    // told to end after LifeTime, not killed
+	DiskFrom float64 // its folder cannot be written to from then on, seconds after its start,
+	DiskFor  float64 // for so long
+	Unheard  bool    // its notices get no answer
+	Lives    float64 // instead of LifeTime; 0 for that
+}
+
+// Plan is a series of processes. The last one is followed by one to which nothing happens.
+type Plan struct {
+	Topic     string // of all messages: once, zoned, known or free
+	Processes []Process
+}
+
+func (p Plan) String() string {
+	text := p.Topic
+	for _, x := range p.Processes {
+		text += fmt.Sprintf(" | %v", x.Attempts)
+		if x.List != Whole {
+			text += fmt.Sprintf(" list %d", x.List)
+		}
+		if x.KillOp > 0 {
+			text += fmt.Sprintf(" killed at operation %d with %d bytes kept", x.KillOp, x.Keep)
+		}
+		if x.DiskFor > 0 {
+			text += fmt.Sprintf(" disk fails from %.2f for %.2f", x.DiskFrom, x.DiskFor)
+		}
+		if x.Ends {
+			text += " told to end"
+		}
+		if x.Unheard {
+			text += " notices unheard"
+		}
+	}
+	return text
+}
+
+// Fault is a fault planted into a run, to show that the judge sees it.
+type Fault int
+
+// The faults.
+const (
+	None        Fault = iota
+	ForgetBegan       // a restart forgets that a call may have run
+	LaterWindow       // a restart counts the window from the last call
+	LoseNotice        // a restart forgets a notice that was not answered, and its message
+	TwoCalls          // each call is sent twice at once
+)
--- /dev/null
+++ b/lab/modelcheck/world.go
@@ -0,0 +1,284 @@
+package modelcheck
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"orchiddrift/decide"
+	"orchiddrift/directory"
+	"orchiddrift/disk/faulty"
+	"orchiddrift/gateway"
+	"orchiddrift/invariant"
+	"orchiddrift/ledger"
+	"orchiddrift/message"
+	"orchiddrift/push"
+)
+
+const (
+	origin    = 1000.0 // the dispatcher's clock at the start of a run
+	tick      = 0.005
+	folderFor = 64 << 10 // bytes of the folder: a few small segments
+	dest      = "1"
+)
+
+// world surrounds the processes of a run.
+type world struct {
+	begun   time.Time
+	folder  *faulty.Folder
+	judge   *judge
+	fault   Fault
+	present *process
+	runner  *gateway.Runner
+	lock    sync.Mutex
+	zones   map[string]string // by endpoint, as listed to the present process
+	counts  *invariant.Counters
+}
+
+var topics = map[string]decide.Topic{
+	"once":  {Repeat: decide.OnceOnly, Group: "all", Ordered: true},
+	"zoned": {Repeat: decide.Collapsible, Memory: Window, Group: "zone"},
+	"known": {Repeat: decide.Collapsible, Memory: Window, Group: "all", Ordered: true},
+	"free":  {Repeat: decide.Repeatable, Group: "all"},
+}
+
+// Topics are the names that a plan may have.
+var Topics = []string{"once", "zoned", "known", "free"}
+
+// Run plays a plan with a planted fault, and gives what was broken, and how many operations the processes did.
+func Run(plan Plan, fault Fault) (found []string, operations []int) {
+	topic := topics[plan.Topic]
+	w := &world{begun: time.Now(), folder: faulty.New(), fault: fault, counts: &invariant.Counters{Log: zerolog.Nop()},
+		judge: &judge{topic: topicRules{once: topic.Repeat == decide.OnceOnly, zone: topic.Group == "zone", ordered: topic.Ordered}}}
+	if topic.Repeat == decide.Collapsible {
+		w.judge.topic.window = topic.Memory
+	}
+	series := append(append([]Process{}, plan.Processes...), Process{Attempts: []Attempt{Serve}})
+	for i, p := range series {
+		w.folder = w.folder.Restart()
+		operations = append(operations, w.live(p, plan.Topic, i == 0, i == len(series)-1))
+		time.Sleep(seconds(DownTime))
+	}
+	found = w.judge.close()
+	for _, name := range invariant.All {
+		if n := w.counts.Count(name); n > 0 {
+			found = append(found, fmt.Sprintf("invariant %s violated %d times", name, n))
+		}
+	}
+	return found, operations
+}
+
+func (w *world) now() float64 { return origin + time.Since(w.begun).Seconds() }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// live lets one process live, and tells how many operations it did.
+func (w *world) live(plan Process, topic string, first, last bool) int {
+	p := &process{plan: plan, world: w, begun: time.Now(), stop: make(chan struct{}), over: make(chan struct{})}
+	w.present = p
+	lives := plan.Lives
+	if lives == 0 {
+		lives = LifeTime
+	}
+	if w.start(p) {
+		w.judge.up(w.now())
+		go w.tellList(p)
+		if first {
+			w.handIn(p, topic, "m1")
+			w.handIn(p, topic, "m2")
+		}
+		switch {
+		case last:
+			w.settle()
+		case plan.Ends:
+			w.await(p, lives)
+			w.runner.Tell(gateway.Leaving{})
+			w.await(p, 0.5)
+			w.runner.Tell(gateway.Stopping{})
+			w.await(p, 1.2)
+		default:
+			w.await(p, lives)
+		}
+		p.kill()
+		<-p.over
+	}
+	return p.ops
+}
+
+// await waits until the process is dead, for so many seconds at most.
+func (w *world) await(p *process, s float64) {
+	select {
+	case <-p.stop:
+	case <-time.After(seconds(s)):
+	}
+}
+
+// settle waits until the last message could be judged.
+func (w *world) settle() {
+	w.judge.lock.Lock()
+	until := w.now()
+	for _, m := range w.judge.messages {
+		until = max(until, m.until)
+	}
+	w.judge.lock.Unlock()
+	const after = 1.0
+	time.Sleep(seconds(until + after - w.now()))
+}
+
+// start opens the folder and lets the loop run. It tells whether the process came so far.
+func (w *world) start(p *process) bool {
+	known := directory.New()
+	known.Replace(w.list(Whole))
+	book, owed, _, err := ledger.Open(folder{w.folder, p}, ledger.Options{Limit: folderFor})
+	if err != nil {
+		p.kill()
+		return false
+	}
+	t := topics["once"]
+	var all []decide.Topic
+	for _, name := range Topics {
+		t = topics[name]
+		t.Name, t.Objective, t.TTL, t.Benefit = name, 1, TTL, 1
+		all = append(all, t)
+	}
+	module := decide.New(1, known, all, decide.Slots{Calls: 6, Held: 20}, decide.Routes{},
+		decide.Returns{ColdFrom: 0.2, ColdSpan: 5, Multiple: 2, FallAfter: 1, Dispatchers: 1},
+		decide.Pushes{Most: 8, Settle: 0.1, Tick: tick, IdleClose: 5}, decide.Shares{}, false)
+	w.runner = &gateway.Runner{Gateway: gateway.New(module, known, book.Room, nil, nil, 1.5), Ledger: book, Platform: platform{p},
+		Clock: w.now, Tick: tick, Log: zerolog.Nop(), Events: make(chan gateway.Event, 1024), Dial: push.Dialer(p.dial)}
+	w.runner.Gateway.Check(invariant.NewSends(w.counts, invariant.Margins{Grace: 0.5, Rest: 0.1}, w.now()+0.5))
+	w.runner.Gateway.NumberCalls(book.LastCall())
+	w.runner.Gateway.Await(w.now() + 0.5)
+	r := w.runner
+	owed = w.plant(owed)
+	go func() {
+		r.Restore(owed)
+		r.Run(p.stop)
+		close(p.over)
+	}()
+	return true
+}
+
+// plant changes what a restart finds, as the fault has it.
+func (w *world) plant(owed []ledger.Owed) []ledger.Owed {
+	var list []ledger.Owed
+	for _, o := range owed {
+		switch {
+		case w.fault == ForgetBegan:
+			o.Message.RanAt = 0
+		case w.fault == LaterWindow && o.Message.RanAt > 0 && o.Last.At > 0:
+			o.Message.RanAt = o.Last.At
+		case w.fault == LoseNotice && o.Notice != nil:
+			continue
+		}
+		list = append(list, o)
+	}
+	return list
+}
+
+// list is the endpoints as a process is told of them, and where they are from then on.
+func (w *world) list(what List) []directory.Endpoint {
+	first := directory.Endpoint{ID: "e1", Zone: "a", Kind: "plain", Dest: dest, Stage: directory.Ready, Addr: "e1"}
+	second := directory.Endpoint{ID: "e2", Zone: "b", Kind: "plain", Dest: dest, Stage: directory.Ready, Addr: "e2"}
+	if what == Moved {
+		first.Zone = "b"
+	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.zones = map[string]string{"e1": first.Zone, "e2": second.Zone}
+	if what == Lacking {
+		return []directory.Endpoint{second}
+	}
+	return []directory.Endpoint{first, second}
+}
+
+// tellList tells a process of the endpoints as planned.
+func (w *world) tellList(p *process) {
+	const soon, late = 0.02, 0.8
+	wait := soon
+	switch p.plan.List {
+	case Silent:
+		return
+	case Late:
+		wait = late
+	}
+	r := w.runner
+	time.Sleep(seconds(wait))
+	if p.alive() {
+		r.Tell(gateway.Listed{Full: true, Endpoints: w.list(p.plan.List)})
+	}
+}
+
+// tellWait lets the destination tell a wait.
+func (w *world) tellWait(p *process, addr string) {
+	if p.alive() {
+		w.runner.Tell(gateway.ToldLate{Endpoint: directory.Endpoint{ID: addr, Dest: dest, Kind: "plain"}, Wait: 0.3})
+	}
+}
+
+// handIn hands a message in.
+func (w *world) handIn(p *process, topic, id string) {
+	m := &message.Message{Until: w.now() + TTL, Body: []byte("body"), Mark: "mark-" + id}
+	m.ID, m.Topic, m.Dest, m.Key = id, topic, dest, "key"
+	w.judge.handed(id, m.Until)
+	w.runner.Tell(gateway.Arrived{Message: m, Reply: func(r gateway.Reply) {
+		if p.operation() {
+			w.judge.answered(id, r.Taken)
+		}
+	}})
+}
+
+// serve is an endpoint's side of a connection.
+func (w *world) serve(p *process, endpoint string, conn net.Conn, what Attempt) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		head, err := in.Peek(1)
+		if err != nil || len(head) == 0 {
+			return
+		}
+		at := w.now()
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		w.lock.Lock()
+		zone := w.zones[endpoint]
+		w.lock.Unlock()
+		id := req.Header.Get("X-Call-Id")
+		c := w.judge.called(at, id, endpoint, zone, p)
+		if _, err := io.ReadAll(req.Body); err != nil {
+			w.judge.ended(w.now(), id, c, 0)
+			return
+		}
+		w.judge.ran(c)
+		if !w.respond(p, conn, id, c, what) {
+			return
+		}
+	}
+}
+
+// respond does with a whole call as planned, and tells whether the connection goes on.
+func (w *world) respond(p *process, conn net.Conn, id string, c *call, what Attempt) bool {
+	status := map[Attempt]int{Busy: http.StatusServiceUnavailable, Fail: http.StatusInternalServerError, ComeUp: http.StatusOK,
+		GiveBack: http.StatusOK, Serve: http.StatusOK}[what]
+	if what == KillWhole {
+		p.kill()
+	}
+	if what == Hang {
+		_, _ = conn.Read(make([]byte, 1)) // until the caller leaves
+	}
+	if status == 0 {
+		w.judge.ended(w.now(), id, c, 0)
+		return false
+	}
+	w.judge.ended(w.now(), id, c, status)
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n", status)
+	return err == nil
+}
