--- a/cmd/orchiddrift/soak.go
+++ b/cmd/orchiddrift/soak.go
@@ -76,7 +76,7 @@
 	}
 	ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	out, broken, void := cmd.OutOrStdout(), 0, 0
+	out, broken, void, overlaps := cmd.OutOrStdout(), 0, 0, soak.Overlaps{}
 	for seed := f.seed; seed < f.seed+uint64(f.seeds) && ctx.Err() == nil; seed++ {
 		keep := f.keep
 		if keep != "" {
@@ -89,8 +89,9 @@
 		if ctx.Err() != nil {
 			break
 		}
-		fmt.Fprintf(out, "seed %d: %d dispatchers, %d troubles, %d rude clients, %d taken on, %d delivered, %d found\n", seed, r.Dispatcher,
-			len(r.Troubles), r.Rude, r.Totals.Taken, r.Totals.Delivered, len(r.Found))
+		overlaps.Add(r.Overlaps)
+		fmt.Fprintf(out, "seed %d: %d dispatchers, %d endpoints, crowd %v, %d troubles, %d rude clients, %d taken on, %d delivered, %d found\n",
+			seed, r.Dispatcher, r.Endpoints, r.Crowded, len(r.Troubles), r.Rude, r.Totals.Taken, r.Totals.Delivered, len(r.Found))
 		if f.detail {
 			for _, t := range r.Troubles {
 				fmt.Fprintln(out, "   ", t)
@@ -116,6 +117,8 @@
 	if ctx.Err() != nil {
 		return failed(ctx.Err())
 	}
+	fmt.Fprintf(out, "troubles that were on together: %v\n", overlaps)
+	fmt.Fprintf(out, "never on together: %s\n", strings.Join(overlaps.Never(), ", "))
 	if void > 0 {
 		fmt.Fprintf(out, "%d of %d seeds were void\n", void, f.seeds)
 	}
--- a/lab/agent/agent.go
+++ b/lab/agent/agent.go
@@ -168,7 +168,7 @@
 }
 
 func (a *Agents) entry(p scenario.Partner, e scenario.Endpoint, state string) server {
-	return server{ID: e.ID, Addr: a.addr(e), Zone: "here", Kind: p.Kind.Name, Cell: e.Dest, State: state, Weight: p.Listed()}
+	return server{ID: e.ID, Addr: a.addr(e), Zone: e.Zone, Kind: p.Kind.Name, Cell: e.Dest, State: state, Weight: p.Listed()}
 }
 
 // Known is the list as a dispatcher has it at its start, in the platform's form.
--- a/lab/fleet/config.go
+++ b/lab/fleet/config.go
@@ -19,7 +19,7 @@
 	}
 	var topics []map[string]any
 	for _, t := range w.Topics {
-		topics = append(topics, map[string]any{"name": t.Name, "repeat": repeats[t.Repeat], "group": "all",
+		topics = append(topics, map[string]any{"name": t.Name, "repeat": repeats[t.Repeat], "group": t.Group,
 			"memory-span-ms": t.Memory * ms, "promise-ms": t.Objective * ms, "deadline-ms": t.TTL * ms,
 			"importance": t.Benefit, "late-worth": t.LateBenefit, "sequential": t.Ordered})
 	}
@@ -37,7 +37,7 @@
 		tenants = append(tenants, map[string]any{"name": t.Name, "quota-rps": rate})
 	}
 	d := w.Dispatchers
-	return map[string]any{"balancers": d.Count, "azs": []string{"here"}, "kinds": kinds, "membership-mode": "push",
+	return map[string]any{"balancers": d.Count, "azs": scenario.Zones, "kinds": kinds, "membership-mode": "push",
 		"weight-kind": "nominal", "tick-ms": d.Tick * ms, "classes": topics, "tenants": tenants, "over-share-worth": 0.05,
 		"family-info": map[string]any{"max-calls": d.Slots, "batch-by-kind": batch, "separate-routes": apart},
 		"policy-limits": map[string]any{"most-held": d.Held, "max-attempts": d.Pushes, "dial-timeout-ms": d.Dial * ms,
--- a/lab/modelcheck/process.go
+++ b/lab/modelcheck/process.go
@@ -16,16 +16,17 @@
 
 // process is a dispatcher's process as far as the world sees it: until it is dead its operations reach the world.
 type process struct {
-	plan  Process
-	world *world
-	begun time.Time
-	lock  sync.Mutex
-	ops   int
-	calls int // attempts so far
-	dead  bool
-	conns []net.Conn // the endpoints' sides
-	stop  chan struct{}
-	over  chan struct{} // its loop has ended
+	plan   Process
+	world  *world
+	begun  time.Time
+	runner *gateway.Runner
+	lock   sync.Mutex
+	ops    int
+	calls  int // attempts so far
+	dead   bool
+	conns  []net.Conn // the endpoints' sides
+	stop   chan struct{}
+	over   chan struct{} // its loop has ended
 }
 
 // operation tells whether the process lives to do something that the world sees, and counts it.
--- a/lab/rules/rules.go
+++ b/lab/rules/rules.go
@@ -237,6 +237,9 @@
 				switch {
 				case before.End == 0 || before.End > p.Last+slack:
 					bad(p, "its push of %.3f at %s was still out", before.Last, before.Endpoint)
+				case topic.Group == scenario.GroupZone && topic.Repeat == scenario.Collapsible && before.mayHaveRun() && c.zone(before) != c.zone(p):
+					bad(p, "zone %q; its push of %.3f at %s in zone %q may have run (%s)", c.zone(p), before.Last, before.Endpoint,
+						c.zone(before), ending(before))
 				case topic.Repeat == scenario.OnceOnly && before.mayHaveRun():
 					bad(p, "its push of %.3f at %s may have run (%s)", before.Last, before.Endpoint, ending(before))
 				}
@@ -264,6 +267,16 @@
 	}
 }
 
+// zone is that of the endpoint of a push.
+func (c *check) zone(p push) string {
+	for _, e := range c.world.Partners[p.Dest].Endpoints {
+		if e.ID == p.Endpoint {
+			return e.Zone
+		}
+	}
+	return ""
+}
+
 // ending says how a push ended.
 func ending(p push) string {
 	switch {
--- a/lab/scenario/check.go
+++ b/lab/scenario/check.go
@@ -6,7 +6,7 @@
 )
 
 var troubles = []string{Refuse, Hang, Errors, Slow, Lost, Reset, Reused, Late, Cut, Spoil, Close, Shut, Limit, Drain, Kill, Restart, Stall,
-	ListDown, ListSlow, Move, Surge, Hot, BusyDisk}
+	ListDown, ListSlow, Series, Move, Surge, Hot, BusyDisk}
 
 // OfPartners tells whether a trouble is one of destinations' endpoints.
 func (t Trouble) OfPartners() bool {
@@ -15,7 +15,7 @@
 
 // OfDispatchers tells whether it is one of dispatchers or what is beside them.
 func (t Trouble) OfDispatchers() bool {
-	return slices.Contains([]string{Kill, Restart, Stall, ListDown, ListSlow, Move}, t.Kind)
+	return slices.Contains([]string{Kill, Restart, Stall, Series, ListDown, ListSlow, Move}, t.Kind)
 }
 
 // The sizes that a run is bounded by: it stops by itself, on one machine.
@@ -71,6 +71,7 @@
 		}
 		names[t.Name] = true
 		word(at+"repeat", t.Repeat, Repeatable, Collapsible, OnceOnly)
+		word(at+"group", t.Group, GroupAll, GroupZone)
 		between(at+"objective", t.Objective, 0.01, 600)
 		between(at+"ttl", t.TTL, max(0.05, t.Objective), 600)
 		between(at+"late_benefit", t.LateBenefit, 0, 1)
@@ -157,6 +158,7 @@
 		between(at+"for", t.For, 0, mostLength)
 		between(at+"share", t.Share, 0, 1)
 		between(at+"factor", t.Factor, 0, 1000)
+		between(at+"times", float64(t.Times), 0, 100)
 		if t.OfPartners() {
 			if len(t.Destinations) == 0 {
 				word(at+"pick", t.Pick, "largest", "smallest", "random", "all")
--- a/lab/scenario/read.go
+++ b/lab/scenario/read.go
@@ -163,6 +163,9 @@
 		or(&t.Benefit, 1)
 		or(&t.Share, 1)
 		or(&t.Memory, 12)
+		if t.Group == "" {
+			t.Group = GroupAll
+		}
 	}
 	if len(s.Tenants) == 0 {
 		s.Tenants = []Tenant{{Name: "acme"}}
@@ -202,6 +205,9 @@
 		if t.Kind == Drain || t.Kind == Kill || t.Kind == Restart {
 			or(&t.Wait, 1)
 		}
+		if t.Kind == Series {
+			t.Times = max(t.Times, 1)
+		}
 		if t.Count == 0 {
 			t.Count = 1
 		}
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -50,11 +50,18 @@
 	OnceOnly    = "once-only"
 )
 
+// Where a repeat of a collapsible one is known.
+const (
+	GroupAll  = "all"
+	GroupZone = "zone"
+)
+
 // Topic is a topic type.
 type Topic struct {
 	Name        string  `toml:"name"`
 	Repeat      string  `toml:"repeat"`
 	Memory      float64 `toml:"memory"` // collapsible: how long a repeat is known
+	Group       string  `toml:"group"`  // collapsible: by "all" endpoints of the destination, or by those of one "zone"
 	Objective   float64 `toml:"objective"`
 	TTL         float64 `toml:"ttl"`
 	Benefit     float64 `toml:"benefit"`
@@ -160,6 +167,7 @@
 	Stall    = "stall"     // dispatchers stand still
 	ListDown = "list-down" // the list is silent
 	ListSlow = "list-slow" // each answer with the list takes so many seconds more
+	Series   = "series"    // dispatchers are killed, told to end and stalled one time after another, during their starts too
 	Move     = "move"      // the agent moves: dispatchers are told by a new configuration and SIGHUP
 	Surge    = "surge"     // the load is so many times what it was
 	Hot      = "hot"       // one client process sends so much more, as a factor of the load
@@ -182,6 +190,7 @@
 	Wait         float64 `toml:"wait"`    // drain: from the drain's telling to the endpoint's going; restart, kill: time down
 	Warm         bool    `toml:"warm"`    // the destination comes back warm
 	Learned      float64 `toml:"learned"` // drain, list: told so much later
+	Times        int     `toml:"times"`   // series: so many signals, within its time
 }
 
 // End is when a trouble is over.
--- a/lab/scenario/world.go
+++ b/lab/scenario/world.go
@@ -32,6 +32,7 @@
 	ID       string
 	Dest     int
 	Number   int // within its destination; the one that takes its place has the same
+	Zone     string
 	Index    int // among all that its destination has in the run
 	Listener int
 	Born     float64 // it is there from this moment on
@@ -39,6 +40,9 @@
 	Goes     float64 // and ends
 }
 
+// Zones are those in which a destination's endpoints stand, in turn.
+var Zones = []string{"a", "b"}
+
 // Fault is a trouble of destinations, with those chosen.
 type Fault struct {
 	Trouble
@@ -82,7 +86,8 @@
 			mean := p.Service * math.Exp(p.Spread*p.Spread/2)
 			p.Slots = int(math.Ceil(p.Rate*mean/float64(g.Endpoints))) + 1
 			for n := range g.Endpoints {
-				e := Endpoint{ID: fmt.Sprintf("e%d-%d", p.Dest, n), Dest: p.Dest, Number: n, Index: n, Listener: listeners + n}
+				e := Endpoint{ID: fmt.Sprintf("e%d-%d", p.Dest, n), Dest: p.Dest, Number: n, Index: n, Zone: Zones[n%len(Zones)],
+					Listener: listeners + n}
 				if g.Listeners > 0 {
 					e.Listener += i % g.Listeners * g.Endpoints
 				} else {
@@ -122,7 +127,7 @@
 				continue
 			}
 			p.Endpoints[n].Drains, p.Endpoints[n].Goes = f.At, f.At+f.Wait
-			next := Endpoint{ID: fmt.Sprintf("e%d-%d", p.Dest, len(p.Endpoints)), Dest: p.Dest, Number: e.Number,
+			next := Endpoint{ID: fmt.Sprintf("e%d-%d", p.Dest, len(p.Endpoints)), Dest: p.Dest, Number: e.Number, Zone: e.Zone,
 				Index: len(p.Endpoints), Listener: listeners, Born: f.At}
 			p.Endpoints = append(p.Endpoints, next)
 			listeners++
--- a/lab/soak/machine.go
+++ b/lab/soak/machine.go
@@ -76,6 +76,9 @@
 	oddAccept                              = 0.03 // of accepts fail
 	oddDial                                = 0.01 // of dials
 	oddRead                                = 0.01
+	oddWrite                               = 0.01 // of requests break off on their way to the endpoint
+	lateDial                               = 0.03 // of connections come up late,
+	latestDial                             = 1200 * time.Millisecond
 	brokenAfter                            = 20 * time.Millisecond
 	splitWrite                             = 0.1
 )
@@ -172,6 +175,13 @@
 			errno := m.pick(syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENOBUFS, syscall.EMFILE, syscall.ENFILE, syscall.ENOMEM)
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", errno)}
 		}
+		if m.odds(lateDial) {
+			late := time.Duration(m.below(int(latestDial)))
+			time.Sleep(min(late, within))
+			if within -= late; within <= 0 {
+				return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+			}
+		}
 		conn, err := good.Dial(address, within)
 		if err != nil {
 			return nil, err
@@ -282,7 +292,20 @@
 	return true
 }
 
+// cutAt breaks the connection with a request's byte: so many of them have left, and the process knows it.
+func (c *faultyConn) cutAt(b []byte) (int, error) {
+	n, _ := c.TCPConn.Write(b[:c.below(len(b))])
+	if c.odds(0.5) {
+		_ = c.SetLinger(0)
+	}
+	_ = c.TCPConn.Close()
+	return n, &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", c.pick(syscall.EPIPE, syscall.ECONNRESET, syscall.ETIMEDOUT))}
+}
+
 func (c *faultyConn) Write(b []byte) (int, error) {
+	if len(b) > 0 && c.odds(oddWrite) {
+		return c.cutAt(b)
+	}
 	if len(b) < 2 || !c.odds(splitWrite) {
 		return c.TCPConn.Write(b)
 	}
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -149,11 +149,15 @@
 type front struct {
 	load.Front
 	proxies []*proxy
+	leaving *leaving
 }
 
 // Choose picks a dispatcher, and gives its proxy's address.
 func (f front) Choose(client int, key string, dest, try int) (load.Target, bool) {
 	t, ok := f.Front.Choose(client, key, dest, try)
+	if d, is := f.leaving.choose(); ok && is && key == "" {
+		t.Dispatcher = d
+	}
 	if ok {
 		t.Addr = f.proxies[t.Dispatcher].ln.Addr().String()
 	}
