--- /dev/null
+++ b/decide/bench_test.go
@@ -0,0 +1,52 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+
+	"orchiddrift/directory"
+)
+
+func benchList(endpoints, dests int) []directory.Endpoint {
+	var list []directory.Endpoint
+	for i := range endpoints {
+		list = append(list, directory.Endpoint{ID: fmt.Sprint("s-", i), Zone: []string{"a", "b"}[i%2], Kind: "plain", Dest: fmt.Sprint(i % dests), Stage: directory.Ready, Rate: 10})
+	}
+	return list
+}
+
+func BenchmarkWait(b *testing.B) {
+	for _, n := range []int{30, 480, 3200} {
+		for _, dests := range []int{10, max(10, n/2)} {
+			b.Run(fmt.Sprint(n, "/", dests), func(b *testing.B) {
+				dir := directory.New()
+				dir.Replace(benchList(n, dests))
+				m := New(1, dir, []Topic{{Name: "t", Repeat: Collapsible, Memory: 5, Group: "all", Objective: 2, TTL: 1e6, Benefit: 1}}, Slots{Calls: 0, Held: 1000}, Routes{}, Returns{ColdFrom: .2, ColdSpan: 10, Multiple: 2, FallAfter: 1, Dispatchers: 300}, Pushes{Most: 8, Tick: .005}, Shares{}, false)
+				m.slots.Calls = 1000
+				for i := range 50 {
+					m.Place(1000, Notification{ID: fmt.Sprint(i), Topic: "t", Dest: fmt.Sprint(i % 10), Left: 1e6, Owed: true, RanAt: 999, RanTo: "s-0"})
+				}
+				for _, e := range benchList(n, dests) {
+					m.gate(e).stop = 1e9
+					m.end(e.ID).aside = 1e9
+				}
+				b.ResetTimer()
+				for range b.N {
+					m.Wait(1000.5)
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkReplace(b *testing.B) {
+	for _, n := range []int{30, 480, 3200} {
+		list := benchList(n, 10)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			dir := directory.New()
+			for range b.N {
+				dir.Replace(list)
+			}
+		})
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -65,7 +65,7 @@
 	pushes Pushes, shares Shares, ask bool) *Module {
 	m := &Module{rng: pcg{state: seed}, dir: dir, topics: map[string]Topic{}, slots: slots, routes: routes,
 		returns: returns, pushes: pushes, shares: shares, ask: ask, held: map[string]*held{},
-		keys: map[string][]*held{}, dests: map[string]*dest{}, gates: map[string]*gate{},
+		keys: map[string][]*held{}, dests: map[string]*dest{}, gates: map[gateID]*gate{},
 		ends: map[string]*endpoint{}, asked: map[string][]float64{}, scarce: map[string]float64{}}
 	if !ask {
 		m.nextAsk = never
@@ -302,6 +302,7 @@
 func (m *Module) head(now float64, d *dest) (*held, float64) {
 	next := never
 	none, noneLow := false, false // what one without a past did not get, none like it gets
+	var refused []likeness
 	fresh := slices.IndexFunc(d.queue, func(h *held) bool { return !h.topic.Halves || h.due() > now })
 	for i := range d.queue {
 		h := d.queue[(max(0, fresh)+i)%len(d.queue)]
@@ -313,6 +314,11 @@
 			next = min(next, free)
 			continue
 		}
+		like := likeness{h.Topic, h.heldTo()}
+		if slices.Contains(refused, like) { // what one did not get, none like it gets now
+			continue
+		}
+		refused = append(refused, like)
 		e, when := m.admit(now, d, h)
 		if e != nil {
 			return h, now
@@ -362,7 +368,7 @@
 
 // takes tells that an endpoint may have h at all.
 func (m *Module) takes(h *held, e directory.Endpoint) bool {
-	return e.Stage == directory.Ready && (h.mayRun == never || h.topic.Group != "zone" || e.Zone == h.zone)
+	return e.Stage == directory.Ready && (!h.zoned() || e.Zone == h.zone)
 }
 
 // others tells that there is an endpoint which lately did not fail h's topic type, nor is in an outage. Then
--- a/decide/state.go
+++ b/decide/state.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"strings"
 
 	"orchiddrift/directory"
 )
@@ -30,7 +29,7 @@
 	keys     map[string][]*held
 	keysFrom float64 // no ordered key moves before
 	dests    map[string]*dest
-	gates    map[string]*gate
+	gates    map[gateID]*gate
 	ends     map[string]*endpoint
 	round    []*dest
 	pointer  int
@@ -67,6 +66,20 @@
 // due is when the objective ends.
 func (h *held) due() float64 { return h.until - h.topic.TTL + h.topic.Objective }
 
+// likeness is what admission depends on beside the destination: notifications that share it are admitted alike.
+type likeness struct{ topic, zone string }
+
+// zoned tells that a push of it may have run, and is known in one zone alone.
+func (h *held) zoned() bool { return h.mayRun != never && h.topic.Group == "zone" }
+
+// heldTo is the zone that it may be sent to, "" for any.
+func (h *held) heldTo() string {
+	if h.zoned() {
+		return "only " + h.zone
+	}
+	return ""
+}
+
 // first is the first push that may have run.
 func (h *held) first() First {
 	if h.mayRun == never {
@@ -185,8 +198,7 @@
 		}
 	}
 	for id, g := range m.gates {
-		dest, shared := strings.CutPrefix(id, sharedGate)
-		listed := shared && m.dir.Known(dest) || !shared && m.dir.Lists(id)
+		listed := id.shared && m.dir.Known(id.of) || !id.shared && m.dir.Lists(id.of)
 		if !listed && g.out == 0 && g.stop <= now && !(g.struck && g.back+m.returns.ColdSpan >= now) {
 			delete(m.gates, id)
 		}
@@ -216,8 +228,11 @@
 	m.keys[h.Key] = slices.DeleteFunc(m.keys[h.Key], rested)
 }
 
-// sharedGate stands before a destination in the id of the throttle that its endpoints share.
-const sharedGate = "to "
+// gateID names a throttle: of a destination, whose endpoints share it, or of an endpoint that is a route apart.
+type gateID struct {
+	of     string
+	shared bool
+}
 
 func (m *Module) dest(id string) *dest {
 	if m.dests[id] == nil {
@@ -227,21 +242,25 @@
 }
 
 func (m *Module) gate(e directory.Endpoint) *gate {
-	id := sharedGate + e.Dest
+	id := gateID{of: e.Dest, shared: true}
 	if m.routes.Apart[e.Kind] {
-		id = e.ID
+		id = gateID{of: e.ID}
 	}
-	if m.gates[id] == nil {
-		m.gates[id] = &gate{allowance: never, refused: never, full: -never, back: never}
+	g := m.gates[id]
+	if g == nil {
+		g = &gate{allowance: never, refused: never, full: -never, back: never}
+		m.gates[id] = g
 	}
-	return m.gates[id]
+	return g
 }
 
 func (m *Module) end(id string) *endpoint {
-	if m.ends[id] == nil {
-		m.ends[id] = &endpoint{id: id, rank: -m.rng.float(), most: never, topics: map[string]passing{}}
+	e := m.ends[id]
+	if e == nil {
+		e = &endpoint{id: id, rank: -m.rng.float(), most: never, topics: map[string]passing{}}
+		m.ends[id] = e
 	}
-	return m.ends[id]
+	return e
 }
 
 // zone is that of an endpoint as listed now, for pushes of which nobody kept it.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -24,19 +24,27 @@
 // Directory is the list as one dispatcher knows it.
 type Directory struct {
 	byDest   map[string][]Endpoint // in the order in which the list named them
-	dest     map[string]string     // of each endpoint
+	places   map[string]place      // of each endpoint
 	Heard    int                   // updates taken in, failures too
 	Failures int                   // notices that a watch or a fetch failed, since the last good update
 }
 
+// place is where an endpoint stands: at an index among those of its destination.
+type place struct {
+	dest string
+	at   int
+}
+
 // New returns an empty directory.
-func New() *Directory { return &Directory{byDest: map[string][]Endpoint{}, dest: map[string]string{}} }
+func New() *Directory {
+	return &Directory{byDest: map[string][]Endpoint{}, places: map[string]place{}}
+}
 
 // Replace takes a whole list: an endpoint that it lacks is gone. A destination left without any stays known until
 // the next whole list: its endpoints may be about to be replaced.
 func (d *Directory) Replace(list []Endpoint) {
 	was := d.byDest
-	d.byDest, d.dest = map[string][]Endpoint{}, map[string]string{}
+	d.byDest, d.places = map[string][]Endpoint{}, map[string]place{}
 	for dest, known := range was {
 		if len(known) > 0 {
 			d.byDest[dest] = nil
@@ -58,7 +66,7 @@
 func (d *Directory) Known(dest string) bool { _, ok := d.byDest[dest]; return ok || len(d.byDest) == 0 }
 
 // Lists tells whether an endpoint is in the list.
-func (d *Directory) Lists(id string) bool { _, ok := d.dest[id]; return ok }
+func (d *Directory) Lists(id string) bool { _, ok := d.places[id]; return ok }
 
 // Failed notes that a watch or a fetch failed; the list stays as it was.
 func (d *Directory) Failed() {
@@ -71,28 +79,33 @@
 
 // Find returns an endpoint of a destination, as listed.
 func (d *Directory) Find(dest, id string) (Endpoint, bool) {
-	for _, e := range d.byDest[dest] {
-		if e.ID == id {
-			return e, true
-		}
+	if p, ok := d.places[id]; ok && p.dest == dest {
+		return d.byDest[dest][p.at], true
 	}
 	return Endpoint{}, false
 }
 
 func (d *Directory) put(e Endpoint) {
-	known := d.byDest[e.Dest]
-	if i := slices.IndexFunc(known, e.is); i >= 0 && e.Stage != Gone {
-		known[i] = e
+	known, listed := d.places[e.ID]
+	if listed && known.dest == e.Dest && e.Stage != Gone {
+		d.byDest[e.Dest][known.at] = e
 		return
 	}
-	if dest, ok := d.dest[e.ID]; ok { // gone, or moved: it may be told of without its destination
-		d.byDest[dest] = slices.DeleteFunc(slices.Clone(d.byDest[dest]), e.is)
-		delete(d.dest, e.ID)
+	if listed { // gone, or moved: it may be told of without its destination
+		d.remove(e.ID, known)
 	}
 	if e.Stage != Gone {
+		d.places[e.ID] = place{e.Dest, len(d.byDest[e.Dest])}
 		d.byDest[e.Dest] = append(d.byDest[e.Dest], e)
-		d.dest[e.ID] = e.Dest
 	}
 }
 
-func (e Endpoint) is(x Endpoint) bool { return x.ID == e.ID }
+// remove takes an endpoint out, and moves up those behind it.
+func (d *Directory) remove(id string, p place) {
+	left := slices.Delete(slices.Clone(d.byDest[p.dest]), p.at, p.at+1)
+	for i, e := range left[p.at:] {
+		d.places[e.ID] = place{p.dest, p.at + i}
+	}
+	d.byDest[p.dest] = left
+	delete(d.places, id)
+}
--- a/intake/clients_test.go
+++ b/intake/clients_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"runtime"
 	"time"
 )
 
@@ -18,8 +19,10 @@
 	fmt.Fprint(asks, "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
 	silent := dialled(l)
 	time.Sleep(20 * time.Millisecond) // loopback has brought the request by then
-	dialled(l)
+	third := dialled(l)
 	fmt.Println("closed: asks", closed(asks), "silent", closed(silent))
+	runtime.KeepAlive(l) // it holds the accepted sides
+	runtime.KeepAlive(third)
 	// Output:
 	// closed: asks false silent true
 }
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -202,7 +202,11 @@
 func Example_crowd() {
 	_, addr := startOn(listen(), few, gateway.Reply{Taken: true})
 	for range 5 {
-		conn, _ := net.Dial("tcp", addr)
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			panic(err)
+		}
+		defer conn.Close() // open to the end: the crowd is those that stay, and a connection that nobody holds is collected
 		fmt.Fprint(conn, "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
 		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		fmt.Println(resp.StatusCode, resp.Close, err)
