Failing test: what was refused as the folder failed is called by the next process

Seen by reading, then by the model check: a write of several records fails part-way, taking it back fails too, and the process is killed before the log goes on in another segment. The whole records at its front are believed at the next start; a taking among them was refused with 503 and may have come again elsewhere: a second effect. Line at fault: seglog.Append frames each record for itself, and what tells a failed write from a good one is kept in memory alone until the next segment.

--- a/lab/modelcheck/judge.go
+++ b/lab/modelcheck/judge.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"sync"
+
+	"orchiddrift/gateway"
 )
 
 // judge is the account of what the world saw, and the rules.
@@ -28,6 +30,7 @@
 	id       string
 	until    float64
 	taken    bool
+	refused  bool // its client was told that it has no effect
 	calls    []*call
 	finalAt  float64  // delivered, or its notice was heard
 	by       *process // that had it delivered; nil for none
@@ -72,7 +75,8 @@
 func (j *judge) answered(id string, taken bool) {
 	j.lock.Lock()
 	defer j.lock.Unlock()
-	j.of(id).taken = taken
+	m := j.of(id)
+	m.taken, m.refused = taken, !taken
 }
 
 // attempted notes that a connection for a message is asked for.
@@ -96,6 +100,9 @@
 	}
 	m := j.messages[i]
 	// A process that was killed at the answer leaves a call that may have run: the next may repeat it, as the topic allows.
+	if m.refused {
+		j.broken(id, "called at %.3f, and its client was told that it was refused", now)
+	}
 	if m.finalAt > 0 && now > m.finalAt+slack && (m.by == nil || m.by == by) {
 		j.broken(id, "called at %.3f, it was over at %.3f", now, m.finalAt)
 	}
@@ -162,7 +169,8 @@
 			j.broken(id, "%s at %.3f, untried, with %.3f left", outcome, now, m.until-now)
 		}
 	}
-	if outcome == "handed_back" && j.topic.once && slices.ContainsFunc(m.calls, (*call).mayHaveRun) {
+	// Handing back tells the client that it may come again, which holds for what is known to all endpoints, or never ran.
+	if outcome == gateway.HandedBack && (j.topic.once || j.topic.zone) && slices.ContainsFunc(m.calls, (*call).mayHaveRun) {
 		j.broken(id, "handed back at %.3f though it may have run", now)
 	}
 	if heard && m.finalAt == 0 {
--- a/lab/modelcheck/modelcheck_test.go
+++ b/lab/modelcheck/modelcheck_test.go
@@ -79,7 +79,7 @@
 		for _, a := range killed {
 			for _, b := range killed {
 				for _, c := range killed {
-					r.plans <- Plan{topic, false, []Process{{Attempts: []Attempt{a}}, {Attempts: []Attempt{b}}, {Attempts: []Attempt{c}}}}
+					r.plans <- Plan{Topic: topic, Shared: false, Processes: []Process{{Attempts: []Attempt{a}}, {Attempts: []Attempt{b}}, {Attempts: []Attempt{c}}}}
 				}
 			}
 		}
@@ -94,10 +94,10 @@
 	for _, topic := range Topics {
 		for _, a := range shared {
 			for _, b := range shared {
-				r.plans <- Plan{topic, true, []Process{{Attempts: []Attempt{a}}, {Attempts: []Attempt{b}}, {Attempts: []Attempt{Refuse}}}}
+				r.plans <- Plan{Topic: topic, Shared: true, Processes: []Process{{Attempts: []Attempt{a}}, {Attempts: []Attempt{b}}, {Attempts: []Attempt{Refuse}}}}
 				for first := range lists {
 					for second := range lists {
-						r.plans <- Plan{topic, false, []Process{{Attempts: []Attempt{a}, List: first}, {Attempts: []Attempt{b}, List: second}}}
+						r.plans <- Plan{Topic: topic, Shared: false, Processes: []Process{{Attempts: []Attempt{a}, List: first}, {Attempts: []Attempt{b}, List: second}}}
 					}
 				}
 			}
@@ -106,6 +106,19 @@
 	r.wait()
 }
 
+// A folder fails as two messages are handed in, with any part of the writes there, and the process is killed before it can be
+// written to again: what was refused is not called by the next.
+func TestRefusedStaysRefused(t *testing.T) {
+	r := newRunner(t, func(p Plan) []string { found, _ := play(t, p, None); return found })
+	for _, topic := range Topics {
+		for part := range 600 {
+			r.plans <- Plan{Topic: topic, MoreAt: 0.1, Processes: []Process{
+				{Attempts: []Attempt{Serve}, DiskFrom: 0.05, DiskFor: 5, DiskPart: part, Lives: 0.4}}}
+		}
+	}
+	r.wait()
+}
+
 // All series of two processes of which one is killed at any of its operations: writes of files, of which nothing or a part is
 // there, connections, calls, notices and answers.
 func TestKilledAnywhere(t *testing.T) {
@@ -113,7 +126,7 @@
 		for which := range p.Processes {
 			for _, keep := range []int{0, 30} {
 				for op := 1; ; op++ {
-					plan := Plan{p.Topic, p.Shared, append([]Process{}, p.Processes...)}
+					plan := Plan{Topic: p.Topic, Shared: p.Shared, Processes: append([]Process{}, p.Processes...)}
 					plan.Processes[which].KillOp, plan.Processes[which].Keep = op, keep
 					broken, operations := play(t, plan, None)
 					for _, text := range broken {
@@ -130,7 +143,7 @@
 	for _, topic := range Topics {
 		for _, a := range killed {
 			for _, b := range killed {
-				r.plans <- Plan{topic, false, []Process{{Attempts: []Attempt{a}}, {Attempts: []Attempt{b}}}}
+				r.plans <- Plan{Topic: topic, Shared: false, Processes: []Process{{Attempts: []Attempt{a}}, {Attempts: []Attempt{b}}}}
 			}
 		}
 	}
@@ -150,11 +163,13 @@
 		}
 		if rapid.IntRange(0, 2).Draw(t, "disk") == 0 {
 			p.DiskFrom, p.DiskFor = rapid.Float64Range(0, 1.5).Draw(t, "from"), rapid.Float64Range(0.05, 1).Draw(t, "for")
+			p.DiskPart = rapid.IntRange(0, 400).Draw(t, "part")
 		}
 		return p
 	})
 	rapid.Check(t, func(rt *rapid.T) {
-		plan := Plan{rapid.SampledFrom(Topics).Draw(rt, "topic"), rapid.Bool().Draw(rt, "shared"), rapid.SliceOfN(process, 1, 5).Draw(rt, "processes")}
+		plan := Plan{rapid.SampledFrom(Topics).Draw(rt, "topic"), rapid.Bool().Draw(rt, "shared"), rapid.SliceOfN(process, 1, 5).Draw(rt, "processes"),
+			rapid.Float64Range(0, 0.5).Draw(rt, "handed in")}
 		if found, _ := play(t, plan, None); len(found) > 0 {
 			rt.Fatalf("%v: %q", plan, found)
 		}
@@ -168,12 +183,12 @@
 		fault Fault
 		plan  Plan
 	}{
-		"forgotten call":     {ForgetBegan, Plan{"once", false, []Process{hang}}},
-		"forgotten window":   {ForgetBegan, Plan{"known", false, []Process{hang, refuse, refuse}}},
-		"forgotten zone":     {ForgetBegan, Plan{"zoned", false, []Process{hang, refuse}}},
-		"window of the last": {LaterWindow, Plan{"known", false, []Process{{Attempts: []Attempt{Fail}}, {Attempts: []Attempt{Refuse, Fail}, Lives: 1}, {Attempts: []Attempt{Refuse}, Lives: 0.6}}}},
-		"lost notice":        {LoseNotice, Plan{"once", false, []Process{unheard}}},
-		"two calls":          {TwoCalls, Plan{"free", false, nil}},
+		"forgotten call":     {ForgetBegan, Plan{Topic: "once", Processes: []Process{hang}}},
+		"forgotten window":   {ForgetBegan, Plan{Topic: "known", Processes: []Process{hang, refuse, refuse}}},
+		"forgotten zone":     {ForgetBegan, Plan{Topic: "zoned", Processes: []Process{hang, refuse}}},
+		"window of the last": {LaterWindow, Plan{Topic: "known", Processes: []Process{{Attempts: []Attempt{Fail}}, {Attempts: []Attempt{Refuse, Fail}, Lives: 1}, {Attempts: []Attempt{Refuse}, Lives: 0.6}}}},
+		"lost notice":        {LoseNotice, Plan{Topic: "once", Processes: []Process{unheard}}},
+		"two calls":          {TwoCalls, Plan{Topic: "free", Processes: nil}},
 	} {
 		if found, _ := play(t, c.plan, c.fault); len(found) == 0 {
 			t.Errorf("%s: not seen", name)
--- a/lab/modelcheck/plan.go
+++ b/lab/modelcheck/plan.go
@@ -67,6 +67,7 @@
 	Ends     bool    // told to end after LifeTime, not killed
 	DiskFrom float64 // its folder cannot be written to from then on, seconds after its start,
 	DiskFor  float64 // for so long
+	DiskPart int     // bytes of the first write that fails that are there all the same
 	Unheard  bool    // its notices get no answer
 	Lives    float64 // instead of LifeTime; 0 for that
 }
@@ -76,6 +77,7 @@
 	Topic     string // of all messages: once, zoned, known or free
 	Shared    bool   // messages share calls and have keys of their own; else they have one key
 	Processes []Process
+	MoreAt    float64 // two more messages come so many seconds after the first process's start; 0: none
 }
 
 func (p Plan) String() string {
@@ -92,7 +94,7 @@
 			text += fmt.Sprintf(" killed at operation %d with %d bytes kept", x.KillOp, x.Keep)
 		}
 		if x.DiskFor > 0 {
-			text += fmt.Sprintf(" disk fails from %.2f for %.2f", x.DiskFrom, x.DiskFor)
+			text += fmt.Sprintf(" disk fails from %.2f for %.2f with %d bytes there", x.DiskFrom, x.DiskFor, x.DiskPart)
 		}
 		if x.Ends {
 			text += " told to end"
--- a/lab/modelcheck/process.go
+++ b/lab/modelcheck/process.go
@@ -72,6 +72,16 @@
 	return a
 }
 
+// partOfFailing is how many bytes of a write that fails are there all the same: of the first so many as planned, then none. It is
+// never the whole: write(2) has then succeeded.
+func (p *process) partOfFailing() int {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	n := p.plan.DiskPart
+	p.plan.DiskPart = 0
+	return n
+}
+
 // folder is the process's folder: nothing reaches it from a dead process, and it fails for a while as planned.
 type folder struct {
 	*faulty.Folder
@@ -116,7 +126,8 @@
 		return 0, faulty.ErrCrash
 	}
 	if since := time.Since(f.p.begun).Seconds(); since >= f.p.plan.DiskFrom && since < f.p.plan.DiskFrom+f.p.plan.DiskFor {
-		return 0, &os.PathError{Op: "write", Path: "model", Err: syscall.EIO}
+		n, _ := f.File.WriteAt(b[:min(f.p.partOfFailing(), len(b)-1)], at)
+		return n, &os.PathError{Op: "write", Path: "model", Err: syscall.EIO}
 	}
 	return f.File.WriteAt(b, at)
 }
--- a/lab/modelcheck/world.go
+++ b/lab/modelcheck/world.go
@@ -92,6 +92,11 @@
 			w.handIn(p, all, "m1")
 			w.handIn(p, all, "m2")
 		}
+		if first && all.MoreAt > 0 {
+			time.Sleep(seconds(all.MoreAt))
+			w.handIn(p, all, "m3")
+			w.handIn(p, all, "m4")
+		}
 		switch {
 		case last:
 			w.settle()
