--- a/ledger/compact.go
+++ b/ledger/compact.go
@@ -95,7 +95,7 @@
 // rewrite writes all that is needed of a notification into the newest segment, as one record: a part of it would make a push
 // that may have run one that never did.
 func (l *Ledger) rewrite(x *Owed) error {
-	b := encode(nil, Record{Kind: Snapshot, ID: x.Message.ID, Parts: x.records()})
+	b := encode(nil, Record{Kind: Group, ID: x.Message.ID, Parts: x.records()})
 	segment, err := l.log.Append(b)
 	if err != nil {
 		return err
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"slices"
@@ -44,8 +45,8 @@
 	moved    int             // bytes written again, in all
 	tight    int             // writes until files are asked for again: the disk had no room for the reserve
 	why      error           // that there is no reserve
-	payload  [][]byte
-	buf      []byte
+	buf      []byte          // what is being written
+	part     []byte          // one record of it
 }
 
 // Report tells what opening found.
@@ -91,7 +92,7 @@
 	l.log, report.Report, err = seglog.Open(folder, seglog.Options{Segment: file, Files: count, Sync: o.Sync, Read: o.Read},
 		func(segment int, b []byte) {
 			r, err := decode(b)
-			if err != nil || r.Kind != Taken && r.Kind != Snapshot && l.owed[r.ID] == nil {
+			if err != nil || r.Kind != Taken && r.Kind != Group && l.owed[r.ID] == nil {
 				report.Strangers++
 				return
 			}
@@ -143,38 +144,53 @@
 	return l.room / part
 }
 
-// Write appends records in one go. Takings among them need files in reserve, ends do not: where the disk has no room they
-// use those.
+// Write appends records in one go: all of them are there afterwards, or none is, also where the write fails part-way, what it
+// left cannot be wiped and the process ends. Takings among them need files in reserve, ends do not: where the disk has no room
+// they use those.
+//
+// It guards against takings that were refused as the folder failed, and that the next process calls all the same.
 func (l *Ledger) Write(records ...Record) error {
-	l.buf, l.payload = l.buf[:0], l.payload[:0]
 	takes := false
 	for i := range records {
 		if r := &records[i]; r.Kind == Taken && r.Seq == 0 {
 			l.taken++
 			r.Seq = l.taken
 		}
-		at := len(l.buf)
-		l.buf = encode(l.buf, records[i])
-		l.payload = append(l.payload, l.buf[at:len(l.buf):len(l.buf)])
 		takes = takes || records[i].Kind == Taken
 	}
-	bytes := len(l.buf) + len(records)*seglog.Overhead
-	if err := l.compact(bytes, takes); err != nil && takes {
+	l.encode(records)
+	if err := l.compact(len(l.buf)+seglog.Overhead, takes); err != nil && takes {
 		return err
 	}
-	segment, err := l.log.Append(l.payload...)
+	segment, err := l.log.Append(l.buf)
 	if errors.Is(err, seglog.ErrFull) || errors.Is(err, seglog.ErrLarge) {
 		return ErrFull
 	}
 	if err != nil {
 		return fmt.Errorf("ledger: %w", err)
 	}
-	for i, r := range records {
-		l.apply(r, segment, len(l.payload[i]))
+	for _, r := range records {
+		l.apply(r, segment, r.size)
 	}
 	return nil
 }
 
+// encode puts records into the buffer as one, and notes what each of them takes.
+func (l *Ledger) encode(records []Record) {
+	l.buf = l.buf[:0]
+	if len(records) == 1 {
+		l.buf = encode(l.buf, records[0])
+		records[0].size = len(l.buf)
+		return
+	}
+	l.buf = putText(append(l.buf, byte(Group)), "")
+	for i := range records {
+		l.part = encode(l.part[:0], records[i])
+		records[i].size = len(l.part)
+		l.buf = append(binary.AppendUvarint(l.buf, uint64(len(l.part))), l.part...)
+	}
+}
+
 // Moved is how many bytes were written again so far.
 func (l *Ledger) Moved() int { return l.moved }
 
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -14,13 +14,13 @@
 
 // The kinds of record.
 const (
-	Taken    Kind = iota + 1 // taken on, with all of it
-	Began                    // a push is about to be written
-	NotRun                   // the call that it names never ran
-	MayRun                   // the call that it names may have run
-	Noticed                  // it is to be ended by a notice
-	Over                     // nothing more is owed
-	Snapshot                 // all that is needed of it, in one: it is there whole or not at all
+	Taken   Kind = iota + 1 // taken on, with all of it
+	Began                   // a push is about to be written
+	NotRun                  // the call that it names never ran
+	MayRun                  // the call that it names may have run
+	Noticed                 // it is to be ended by a notice
+	Over                    // nothing more is owed
+	Group                   // several records in one: they are there whole or not at all
 )
 
 // Record is one line of the ledger.
@@ -35,9 +35,10 @@
 	Unsent  bool             // NotRun: nothing of it was sent, and it counts as no push
 	Outcome string           // Noticed: its wording
 	RetryIn float64          // Noticed: seconds, 0 for none
-	Pushes  int              // Taken: pushes so far, where it is part of a snapshot
+	Pushes  int              // Taken: pushes so far, where a group tells again all that is needed of it
 	Seq     int              // Taken: its place in the order of takings
-	Parts   []Record         // Snapshot
+	Parts   []Record         // Group
+	size    int              // bytes that it takes, as it was read
 }
 
 var errTorn = errors.New("torn record")
@@ -62,7 +63,7 @@
 		if m.RanAt > 0 {
 			b = binary.AppendUvarint(putText(b, m.RanZone), m.RanCall)
 		}
-	case Snapshot:
+	case Group:
 		for _, part := range r.Parts {
 			b = putText(b, string(encode(nil, part)))
 		}
@@ -100,12 +101,14 @@
 		if len(f.b) > 0 {
 			m.RanZone, m.RanCall = f.text(), f.uint()
 		}
-	case Snapshot:
+	case Group:
 		for len(f.b) > 0 {
-			part, err := decode([]byte(f.text()))
-			if err != nil || part.Kind == Snapshot {
+			text := f.text()
+			part, err := decode([]byte(text))
+			if err != nil || part.Kind == Group {
 				return Record{}, errTorn
 			}
+			part.size = len(text)
 			r.Parts = append(r.Parts, part)
 		}
 	case Began:
@@ -120,7 +123,7 @@
 	case Noticed:
 		r.Outcome, r.RetryIn = f.text(), f.float()
 	}
-	if f.short || r.Kind < Taken || r.Kind > Snapshot {
+	if f.short || r.Kind < Taken || r.Kind > Group {
 		return Record{}, errTorn
 	}
 	return r, nil
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -70,9 +70,9 @@
 	x := l.owed[r.ID]
 	l.lastCall = max(l.lastCall, r.Call)
 	switch {
-	case r.Kind == Snapshot:
+	case r.Kind == Group:
 		for _, part := range r.Parts {
-			l.apply(part, segment, bytes)
+			l.apply(part, segment, part.size)
 		}
 	case r.Kind == Taken:
 		l.take(r, segment, bytes)
@@ -92,7 +92,7 @@
 	}
 }
 
-// take takes in the taking of a notification, or what a snapshot tells again.
+// take takes in the taking of a notification, or what a group tells again.
 func (l *Ledger) take(r Record, segment, bytes int) {
 	if x := l.owed[r.ID]; x != nil {
 		l.live -= x.size
