--- a/gateway/fault_test.go
+++ b/gateway/fault_test.go
@@ -258,3 +258,33 @@
 	close(stop)
 	<-ended
 }
+
+// A request that is read as the process goes on after a stall may have waited in its socket all that time, as long as its client
+// waits for an answer: its time is counted from there, and its final answer is not late by the stall.
+//
+// Found by the soak (seed 461055): sent 0.38 s before its dispatcher went on, answered 9 ms too late.
+func TestTimeStoodStill(t *testing.T) {
+	var jump atomic.Int64 // ms by which the process's clock is ahead
+	r := newFaultRig(t, time.Now())
+	r.Tell(gateway.Listed{})
+	r.Tell(gateway.ToldLate{Endpoint: directory.Endpoint{ID: r.addr, Dest: "A", Kind: "bulk"}, Wait: 9})
+	time.Sleep(20 * time.Millisecond)
+	r.over()
+	start := time.Now()
+	clock := func() float64 { return 1000 + time.Since(start).Seconds() + float64(jump.Load())/1e3 }
+	r.Clock = clock
+	stop, ended := make(chan struct{}), make(chan bool)
+	go func() { r.Run(stop); close(ended) }()
+	time.Sleep(200 * time.Millisecond)
+	jump.Store(700)
+	begun := time.Now()
+	if !r.hand(clock() + 1) {
+		t.Fatal("not taken on")
+	}
+	expected(t, "its notice", r.notices, "A1 handed_back")
+	if took := time.Since(begun); took > 700*time.Millisecond {
+		t.Errorf("its notice came %v after the process went on: its time had ended %v after", took, 600*time.Millisecond)
+	}
+	close(stop)
+	<-ended
+}
