--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,8 +40,10 @@
 	stopped  bool
 	await    float64 // no push starts before discovery's first word, or this
 	paused   float64 // nor before this, whatever is told
-	effects  []Effect
-	checks   *invariant.Sends // nil for none
+	// What is read until waitedUntil, as a stall has ended, may have waited so long in its socket.
+	waited, waitedUntil float64
+	effects             []Effect
+	checks              *invariant.Sends // nil for none
 }
 
 // item is a message in hand.
@@ -73,6 +75,17 @@
 // Pause lets no push start before a moment.
 func (g *Gateway) Pause(until float64) { g.paused = max(g.paused, until) }
 
+// clientWaits is how long, in seconds, a client waits for the answer to its request, as the platform has it.
+const clientWaits = 0.4
+
+// StoodStill tells that the process goes on after a stall of so many seconds. No push starts until what was told meanwhile is read.
+// Requests that are read by then may have waited in their sockets for as long as their clients wait, and their time is
+// counted from there. It does harm to those that came just now: they have so much less.
+func (g *Gateway) StoodStill(now, stall float64) {
+	g.Pause(now + afterStall)
+	g.waited, g.waitedUntil = min(stall, clientWaits), now+afterStall
+}
+
 // quiet is until when no push starts.
 func (g *Gateway) quiet() float64 { return max(g.await, g.paused) }
 
@@ -198,6 +211,9 @@
 		g.do(Answer{m.ID, e.Reply, Reply{Why: LedgerFull}})
 		return
 	}
+	if now <= g.waitedUntil {
+		m.Until -= g.waited
+	}
 	m.Left = m.Until - now
 	a := g.module.Place(now, m.Notification)
 	if a.Do == decide.Throttle {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -97,7 +97,7 @@
 	now := r.Clock()
 	if late := now - r.due; late > stalled {
 		r.Log.Warn().Float64("late", late).Msg("the process stood still")
-		r.Gateway.Pause(now + afterStall)
+		r.Gateway.StoodStill(now, late)
 	}
 }
 
