Model check: a call is given up as its process closes the connection

One of some 40,000 random series failed: a silent call given up and repeated in the same instant counted as two at once, as the endpoint's goroutine had not run in between. The moment is the caller's close, now; two calls at once are still seen (TestPlanted, 30 runs).

--- a/lab/modelcheck/judge.go
+++ b/lab/modelcheck/judge.go
@@ -142,6 +142,15 @@
 	c.whole = true
 }
 
+// left notes that calls are out no more, as their process closed the connection.
+func (j *judge) left(calls []*call) {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	for _, c := range calls {
+		c.open = false
+	}
+}
+
 // ended notes that a call is out no more, and how its endpoint answered: with no status where it did not.
 func (j *judge) ended(now float64, id string, c *call, status int) {
 	j.lock.Lock()
--- a/lab/modelcheck/process.go
+++ b/lab/modelcheck/process.go
@@ -161,11 +161,12 @@
 		_ = there.Close()
 		return nil, errRefused
 	}
-	go p.world.serve(p, addr, there, what)
+	w := &wire{Conn: here, p: p, what: what}
 	if p.world.fault == TwoCalls {
-		return &wire{Conn: here, p: p, what: what, second: p.again(addr)}, nil
+		w.second = p.again(addr)
 	}
-	return &wire{Conn: here, p: p, what: what}, nil
+	go p.world.serve(p, addr, there, what, w)
+	return w, nil
 }
 
 // again opens a second connection for the planted fault of two calls at once.
@@ -174,7 +175,7 @@
 	p.lock.Lock()
 	p.conns = append(p.conns, there)
 	p.lock.Unlock()
-	go p.world.serve(p, addr, there, Hang)
+	go p.world.serve(p, addr, there, Hang, &wire{Conn: here, p: p})
 	return here
 }
 
@@ -184,6 +185,15 @@
 	p      *process
 	what   Attempt
 	second net.Conn // what is written goes there as well; nil for none
+	lock   sync.Mutex
+	calls  []*call // that came on it
+}
+
+// carries notes a call that came on the connection.
+func (w *wire) carries(c *call) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.calls = append(w.calls, c)
 }
 
 var errReset = &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", syscall.ECONNRESET)}
@@ -211,8 +221,11 @@
 	return w.Conn.Write(b)
 }
 
-// Close closes both ways.
+// Close closes both ways. With it the process gives up what is out on it: at that moment, not when the endpoint sees it.
 func (w *wire) Close() error {
+	w.lock.Lock()
+	w.p.world.judge.left(w.calls)
+	w.lock.Unlock()
 	if w.second != nil {
 		_ = w.second.Close()
 	}
--- a/lab/modelcheck/world.go
+++ b/lab/modelcheck/world.go
@@ -248,7 +248,7 @@
 }
 
 // serve is an endpoint's side of a connection.
-func (w *world) serve(p *process, endpoint string, conn net.Conn, what Attempt) {
+func (w *world) serve(p *process, endpoint string, conn net.Conn, what Attempt, from *wire) {
 	defer conn.Close()
 	in := bufio.NewReader(conn)
 	for {
@@ -273,6 +273,7 @@
 		for _, id := range ids {
 			calls[id] = w.judge.called(at, id, endpoint, zone, p)
 			w.judge.ran(calls[id])
+			from.carries(calls[id])
 		}
 		if !w.respond(p, conn, ids, calls, what) {
 			return
