--- a/lab/record/record.go
+++ b/lab/record/record.go
@@ -33,6 +33,9 @@
 // Taken tells whether a dispatcher took it on.
 func (h *HandIn) Taken() bool { return h.Status == 200 || h.Status == 202 }
 
+// Refused tells whether its client was told that it has no effect and may come again.
+func (h *HandIn) Refused() bool { return h.Status == 503 || h.Status == 429 }
+
 // State is what became of one notification in a call.
 type State string
 
--- a/lab/rules/rules.go
+++ b/lab/rules/rules.go
@@ -225,6 +225,9 @@
 			c.broken(Violation{Rule: Twice, At: p.Last, Dispatcher: h.Dispatcher, ID: h.ID, Endpoint: p.Endpoint,
 				Evidence: fmt.Sprintf("%s, pushed at %.3f: ", topic.Repeat, p.Last) + fmt.Sprintf(format, args...)})
 		}
+		if h.Refused() && len(list) > 0 {
+			bad(list[0], "its client was told at %.3f that it was refused", h.Answered)
+		}
 		if len(list) > c.world.Dispatchers.Pushes {
 			bad(list[len(list)-1], "it is push %d of %d at most", len(list), c.world.Dispatchers.Pushes)
 		}
--- a/lab/rules/rules_test.go
+++ b/lab/rules/rules_test.go
@@ -252,3 +252,14 @@
 	// busy e1-0 []
 	// busy e1-1 []
 }
+
+// What was refused is not pushed: its client may have handed it in again elsewhere.
+func Example_refused() {
+	t := (&trace{}).take("a", "again", "", 1)
+	t.HandIns[0].Status = 503
+	judge("refused", t)
+	judge("refused, and pushed", t.push("a", 2, 2.5, record.Done, 0))
+	// Output:
+	// refused: kept
+	// refused, and pushed: twice at 2.000 s: dispatcher 0 a e1-0: repeatable, pushed at 2.000: its client was told at 1.000 that it was refused
+}
