--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -40,22 +40,48 @@
 	return fleet.Command{Path: os.Args[0], Env: []string{"ORCHIDDRIFT_TEST=" + role}}
 }
 
-// The short form: one seed, in which kills, stops, a stall, slow and silent lists and a partner's faults overlap.
+// shortSeeds are those of the short form: together they have kills, stops, stalls and series of them, slow and silent lists, partners'
+// faults, a crowd, and a world of thousands of endpoints.
+var shortSeeds = []uint64{5, 6, 9, 10}
+
+// The short form: what a seed plays overlaps, and nothing is broken.
 func TestSoak(t *testing.T) {
-	t.Parallel()
-	r, err := Play(context.Background(), 5, 6, Options{Command: command("child"), Steps: true})
-	if err != nil {
-		t.Fatal(err)
+	for _, seed := range shortSeeds {
+		r, err := Play(context.Background(), seed, 6, Options{Command: command("child"), Steps: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, text := range r.Found {
+			if len(r.Starved) > 0 {
+				t.Logf("seed %d, on a machine too busy for a verdict: %s", seed, text)
+				continue
+			}
+			t.Errorf("seed %d: %s", seed, text)
+		}
+		if r.Totals.Taken == 0 || r.Totals.Delivered*2 < r.Totals.Taken || r.Rude == 0 {
+			t.Errorf("seed %d: %d taken on, %d delivered, %d rude clients", seed, r.Totals.Taken, r.Totals.Delivered, r.Rude)
+		}
 	}
-	for _, text := range r.Found {
-		if len(r.Starved) > 0 {
-			t.Log("on a machine too busy for a verdict: ", text)
-			continue
+}
+
+// The short seeds have what they are said to have.
+func TestShortSeeds(t *testing.T) {
+	wide, crowded, series := false, false, 0
+	for _, seed := range shortSeeds {
+		p, err := plan(seed, 6)
+		if err != nil {
+			t.Fatal(err)
+		}
+		wide = wide || endpoints(p.Scenario) > 3000
+		crowded = crowded || len(p.Crowd) > 0
+		for _, x := range p.Troubles {
+			if x.Kind == scenario.Series {
+				series++
+			}
 		}
-		t.Error(text)
 	}
-	if r.Totals.Taken == 0 || r.Totals.Delivered*2 < r.Totals.Taken || r.Rude == 0 {
-		t.Errorf("%d taken on, %d delivered, %d rude clients", r.Totals.Taken, r.Totals.Delivered, r.Rude)
+	if !wide || !crowded || series < len(shortSeeds) {
+		t.Errorf("wide %v, a crowd %v, %d series", wide, crowded, series)
 	}
 }
 
