--- a/dispatcher/machine_test.go
+++ b/dispatcher/machine_test.go
@@ -61,9 +61,14 @@
 // startOn runs the dispatcher on a system until it serves.
 func (w *world) startOn(t *testing.T, system dispatcher.System) {
 	t.Helper()
+	w.launch(system)
+	within(t, "ready", w.ready)
+}
+
+// launch runs the dispatcher on a system.
+func (w *world) launch(system dispatcher.System) {
 	w.ended = make(chan error, 1)
 	go func() { w.ended <- dispatcher.RunOn(system, dispatcher.Logs{}) }()
-	within(t, "ready", w.ready)
 }
 
 func (w *world) stop(t *testing.T) {
--- a/lab/modelcheck/modelcheck_test.go
+++ b/lab/modelcheck/modelcheck_test.go
@@ -161,6 +161,9 @@
 		if rapid.IntRange(0, 2).Draw(t, "at") == 0 {
 			p.KillOp, p.Keep = rapid.IntRange(1, 20).Draw(t, "operation"), rapid.IntRange(0, 80).Draw(t, "keep")
 		}
+		if rapid.IntRange(0, 3).Draw(t, "told") == 0 {
+			p.EndOp = rapid.IntRange(1, 20).Draw(t, "told at")
+		}
 		if rapid.IntRange(0, 2).Draw(t, "disk") == 0 {
 			p.DiskFrom, p.DiskFor = rapid.Float64Range(0, 1.5).Draw(t, "from"), rapid.Float64Range(0.05, 1).Draw(t, "for")
 			p.DiskPart = rapid.IntRange(0, 400).Draw(t, "part")
--- a/lab/modelcheck/plan.go
+++ b/lab/modelcheck/plan.go
@@ -65,6 +65,7 @@
 	KillOp   int     // killed instead of its outside operation of this number, from 1 on; 0: after LifeTime
 	Keep     int     // bytes of a file's write that are there all the same
 	Ends     bool    // told to end after LifeTime, not killed
+	EndOp    int     // told to end at its outside operation of this number, where its loop runs by then, and killed after LifeTime; 0: not
 	DiskFrom float64 // its folder cannot be written to from then on, seconds after its start,
 	DiskFor  float64 // for so long
 	DiskPart int     // bytes of the first write that fails that are there all the same
@@ -96,6 +97,9 @@
 		if x.DiskFor > 0 {
 			text += fmt.Sprintf(" disk fails from %.2f for %.2f with %d bytes there", x.DiskFrom, x.DiskFor, x.DiskPart)
 		}
+		if x.EndOp > 0 {
+			text += fmt.Sprintf(" told to end at operation %d", x.EndOp)
+		}
 		if x.Ends {
 			text += " told to end"
 		}
--- a/lab/modelcheck/process.go
+++ b/lab/modelcheck/process.go
@@ -33,8 +33,11 @@
 func (p *process) operation() bool {
 	p.lock.Lock()
 	p.ops++
-	now := p.ops == p.plan.KillOp
+	now, ends := p.ops == p.plan.KillOp, p.ops == p.plan.EndOp && p.runner != nil
 	p.lock.Unlock()
+	if ends {
+		go p.world.end(p)
+	}
 	if now {
 		p.kill()
 	}
