--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -241,6 +241,18 @@
 	}
 }
 
+// kill kills a dispatcher's process outright, and notes it.
+func (f *Fleet) kill(p *process) {
+	f.signal(p, syscall.SIGKILL, true)
+	f.life(p, record.Killed, "")
+}
+
+// term tells a dispatcher's process to end, and notes it.
+func (f *Fleet) term(p *process) {
+	f.signal(p, syscall.SIGTERM, true)
+	f.life(p, record.Termed, "")
+}
+
 // Play carries out the dispatchers' troubles until the run is over.
 func (f *Fleet) Play(ctx context.Context) {
 	for _, t := range f.world.Troubles {
@@ -278,11 +290,9 @@
 		f.series(ctx, p, t)
 		return
 	case scenario.Kill:
-		f.signal(p, syscall.SIGKILL, true)
-		f.life(p, record.Killed, "")
+		f.kill(p)
 	case scenario.Restart:
-		f.signal(p, syscall.SIGTERM, true)
-		f.life(p, record.Termed, "")
+		f.term(p)
 		f.ending(p)
 	}
 	if !pause(ctx, seconds(t.Wait)) {
--- a/lab/fleet/series.go
+++ b/lab/fleet/series.go
@@ -30,12 +30,10 @@
 		case x < stallShare:
 			f.stall(ctx, p, longestStall*chance.Float64())
 		case x < stallShare+restartShare:
-			f.signal(p, syscall.SIGTERM, true)
-			f.life(p, record.Termed, "")
+			f.term(p)
 			f.ending(p)
 		default:
-			f.signal(p, syscall.SIGKILL, true)
-			f.life(p, record.Killed, "")
+			f.kill(p)
 			f.ending(p)
 		}
 		if !pause(ctx, seconds(longestDown*chance.Float64())) {
--- a/lab/modelcheck/process.go
+++ b/lab/modelcheck/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -264,5 +263,3 @@
 		}
 	}()
 }
-
-var _ io.Closer = (*wire)(nil)
--- a/lab/modelcheck/world.go
+++ b/lab/modelcheck/world.go
@@ -152,10 +152,9 @@
 		p.kill()
 		return false
 	}
-	t := topics["once"]
 	var all []decide.Topic
 	for _, name := range Topics {
-		t = topics[name]
+		t := topics[name]
 		t.Name, t.Objective, t.TTL, t.Benefit = name, 1, TTL, 1
 		all = append(all, t)
 	}
