Seams for failing system calls: clients' sockets, dials to the agent, kinds of errors

Package sock: a TCP listener and connections whose accept, read, write, look and shutdown can be replaced.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -80,6 +80,7 @@
 	defer state.folder.Close()
 
 	agent := platform.NewAgent(cfg.Discovery, cfg.Known.Version, log)
+	agent.SetDialer(system.DialAgent)
 	runner := &gateway.Runner{Gateway: gateway.New(parts.scheduler, dir, state.ledger.HasRoom, parts.separateRoutes,
 		parts.batchSizes, parts.dialTimeout),
 		Ledger: state.ledger, Platform: agent, Clock: state.clock, Tick: parts.tick, Log: log, Events: make(chan gateway.Event, eventQueueSize),
--- a/dispatcher/system.go
+++ b/dispatcher/system.go
@@ -8,6 +8,7 @@
 
 	"orchiddrift/clock"
 	"orchiddrift/disk"
+	"orchiddrift/sock"
 )
 
 // StateFolder is the folder that outlives the process. The process has exclusive access until it closes the folder.
@@ -23,7 +24,8 @@
 	ClockSource      clock.Source
 	OpenFolder       func(path string) (StateFolder, error)
 	Listen           func(address string) (net.Listener, error)
-	Dial             func(address string, timeout time.Duration) (net.Conn, error)
+	Dial             func(address string, timeout time.Duration) (net.Conn, error) // to endpoints
+	DialAgent        func(address string, timeout time.Duration) (net.Conn, error)
 	PanicOnViolation bool // for tests: panic when an invariant is violated
 }
 
@@ -34,9 +36,13 @@
 		ReadFile:    os.ReadFile,
 		ClockSource: clock.SystemSource(),
 		OpenFolder:  func(path string) (StateFolder, error) { return disk.OpenDir(path) },
-		Listen:      func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
-		Dial: func(address string, timeout time.Duration) (net.Conn, error) {
-			return net.DialTimeout("tcp", address, timeout)
-		},
+		Listen:      func(address string) (net.Listener, error) { return sock.Listen(address, sock.HostCalls{}) },
+		Dial:        dialTCP,
+		DialAgent:   dialTCP,
 	}
 }
+
+// dialTCP connects to a TCP address.
+func dialTCP(address string, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", address, timeout)
+}
--- a/intake/client.go
+++ b/intake/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"orchiddrift/invariant"
+	"orchiddrift/sock"
 )
 
 // closeReason is the reason for closing a client's connection, as written to the log.
@@ -32,6 +33,7 @@
 type clientConn struct {
 	net.Conn
 	rawConn              syscall.RawConn // nil if Conn is not a socket of the operating system
+	calls                sock.Calls      // the system calls on rawConn's descriptor
 	listener             *limitListener
 	readClosed           bool        // closed for reading by this side
 	closed               bool        // Close was called
@@ -49,7 +51,10 @@
 
 // newClientConn returns the connection of a client that was accepted by a listener.
 func newClientConn(listener *limitListener, conn net.Conn) *clientConn {
-	c := &clientConn{Conn: conn, listener: listener}
+	c := &clientConn{Conn: conn, listener: listener, calls: sock.HostCalls{}}
+	if s, ok := conn.(interface{ Calls() sock.Calls }); ok {
+		c.calls = s.Calls()
+	}
 	if s, ok := conn.(syscall.Conn); ok {
 		c.rawConn, _ = s.SyscallConn()
 	}
@@ -123,7 +128,7 @@
 	if c.readClosed {
 		return 0, nil
 	}
-	n, err := readNonBlocking(fd, b)
+	n, err := c.readNonBlocking(fd, b)
 	c.recordBytes(b[:n])
 	return n, err
 }
@@ -137,9 +142,9 @@
 }
 
 // readNonBlocking reads what a non-blocking socket holds. It returns 0 and no error at the end of the stream.
-func readNonBlocking(fd int, b []byte) (int, error) {
+func (c *clientConn) readNonBlocking(fd int, b []byte) (int, error) {
 	for {
-		n, err := syscall.Read(fd, b)
+		n, err := c.calls.Read(fd, b)
 		if !errors.Is(err, syscall.EINTR) {
 			return max(0, n), err
 		}
@@ -148,7 +153,7 @@
 
 // Write writes bytes of a response and records that the current request was answered.
 func (c *clientConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
+	n, err := c.writeBytes(b)
 	c.listener.lock.Lock()
 	if c.responded = true; err != nil {
 		c.setReason(closedByClient)
@@ -157,6 +162,29 @@
 	return n, err
 }
 
+// writeBytes writes all of b, waiting while the socket's buffer is full.
+func (c *clientConn) writeBytes(b []byte) (int, error) {
+	if c.rawConn == nil {
+		return c.Conn.Write(b)
+	}
+	written, callErr := 0, error(nil)
+	err := c.rawConn.Write(func(fd uintptr) bool {
+		for written < len(b) {
+			n, err := c.calls.Write(int(fd), b[written:])
+			written += max(0, n)
+			if errors.Is(err, syscall.EAGAIN) {
+				return false
+			}
+			if err != nil && !errors.Is(err, syscall.EINTR) {
+				callErr = os.NewSyscallError("write", err)
+				return true
+			}
+		}
+		return true
+	})
+	return written, errors.Join(err, callErr)
+}
+
 // SetReadDeadline sets the read deadline. It has no effect once the connection is closed for reading, since a read must not
 // wait then.
 func (c *clientConn) SetReadDeadline(t time.Time) error {
@@ -284,7 +312,7 @@
 		return 0, syscall.EAGAIN
 	}
 	controlErr := c.rawConn.Control(func(fd uintptr) {
-		n, _, err = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, err = c.calls.Peek(int(fd))
 	})
 	return max(0, n), errors.Join(err, controlErr)
 }
@@ -306,7 +334,7 @@
 		var b [4 << 10]byte
 		n, err := 1, error(nil)
 		for n > 0 {
-			n, err = readNonBlocking(int(fd), b[:])
+			n, err = c.readNonBlocking(int(fd), b[:])
 		}
 		closed = !errors.Is(err, syscall.EAGAIN)
 	})
