--- a/disk/faulty/faulty.go
+++ b/disk/faulty/faulty.go
@@ -27,6 +27,8 @@
 	Syncs                  int                     // number of file syncs so far
 	CrashAtWrite           int                     // number, from 1, of the write or remove at which the process crashes; 0 for none
 	CrashKeepBytes         int                     // bytes of that write that are stored nevertheless
+	FailFrom, FailUntil    int                     // numbers of the first and the last write that fail although they are stored in part; 0 for none
+	FailKeep               float64                 // share of the bytes of those writes that are stored
 	Writes                 int                     // number of writes and removes so far
 	LongestWrite           int                     // size of the longest write, in bytes
 	WrittenBytes           int                     // total size of all writes, in bytes
@@ -158,6 +160,9 @@
 	if folder.Writes == folder.CrashAtWrite {
 		folder.crashed, n, err = true, min(folder.CrashKeepBytes, len(b)), ErrCrashed
 	}
+	if folder.Writes >= folder.FailFrom && folder.Writes <= folder.FailUntil {
+		n, err = int(folder.FailKeep*float64(len(b))), fmt.Errorf("%s: %w", f.name, syscall.EIO)
+	}
 	if grown := int(offset) + n - len(f.data); grown > 0 && folder.CapacityBytes >= 0 && folder.UsedBytes()+grown > folder.CapacityBytes {
 		n, err = max(0, n-(folder.UsedBytes()+grown-folder.CapacityBytes)), fmt.Errorf("%s: %w", f.name, syscall.ENOSPC)
 	}
--- /dev/null
+++ b/dispatcher/clock_test.go
@@ -0,0 +1,55 @@
+package dispatcher
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"orchiddrift/clock"
+)
+
+// Guards against a clock that follows the wall clock for the life of the process because one reading failed at the start: after
+// a step of an hour, what is pending would be pushed an hour after its time, or given up at once.
+func TestClockWhileReadingFails(t *testing.T) {
+	for _, call := range []string{"boot ID", "uptime"} {
+		cfg := &config{stateDir: t.TempDir(), Limits: limits{DiskMB: 3}}
+		failures := 0
+		system := HostSystem(func(string) string { return "" })
+		host := system.ClockSource
+		check := func(name string) error {
+			if name != call || failures == 0 {
+				return nil
+			}
+			failures--
+			return syscall.EMFILE
+		}
+		system.ClockSource = clock.Source{Wall: host.Wall, BootID: func() (string, error) {
+			if err := check("boot ID"); err != nil {
+				return "", err
+			}
+			return host.BootID()
+		}, SinceBoot: func() (time.Duration, error) {
+			if err := check("uptime"); err != nil {
+				return 0, err
+			}
+			return host.SinceBoot()
+		}}
+		open := func() float64 {
+			startup := &startupSequence{log: zerolog.Nop(), startedAt: time.Now()}
+			var state *persistentState
+			if err := startup.retry("folder", func() (err error) { state, err = openState(system, cfg, zerolog.Nop()); return err }); err != nil {
+				t.Fatal(err)
+			}
+			defer state.folder.Close()
+			return state.clock()
+		}
+		before := open()
+		system.ClockSource.Wall = func() time.Time { return time.Now().Add(time.Hour) }
+		failures = 2
+		if after := open(); after < before || after > before+10 {
+			t.Errorf("reading of the %s fails twice: the clock has moved by %.0f s", call, after-before)
+		}
+	}
+}
--- /dev/null
+++ b/ledger/failed_write_test.go
@@ -0,0 +1,84 @@
+package ledger_test
+
+import (
+	"fmt"
+	"testing"
+
+	"orchiddrift/disk/faulty"
+	"orchiddrift/ledger"
+)
+
+// failedWriteLimit is the limit of the ledger in bytes; its segments hold two long messages.
+const failedWriteLimit = 120 << 10
+
+// Guards against accepted messages that are lost, and refused ones that are restored, because a write fails that was stored in
+// part or whole: each write of a sequence that goes through several segments fails in turn, alone or with the ones after it.
+func TestFailedWriteStoredAnyway(t *testing.T) {
+	const failuresInRow = 3
+	for _, keep := range []float64{0, 0.5, 1} {
+		for count := 1; count <= failuresInRow; count++ {
+			for first := 1; ; first++ {
+				folder := faulty.New()
+				l, _, _, err := ledger.Open(folder, ledger.Options{LimitBytes: failedWriteLimit})
+				if err != nil {
+					t.Fatal(err)
+				}
+				folder.FailFrom, folder.FailUntil, folder.FailKeep = folder.Writes+first, folder.Writes+first+count-1, keep
+				name := fmt.Sprintf("write %d to %d, %.0f%% stored", first, first+count-1, 100*keep)
+				if !checkSequence(t, name, folder, l) {
+					break
+				}
+			}
+		}
+	}
+}
+
+// checkSequence writes messages, long and short ones in turn, and after each write compares with what a process that starts then
+// would find. It reports whether all the writes that were to fail have come.
+func checkSequence(t *testing.T, name string, folder *faulty.Folder, l *ledger.Ledger) bool {
+	t.Helper()
+	const messages, longBody, shortBody, keptMessages = 24, 5000, 10, 6
+	written, refused := map[string]bool{}, map[string]bool{}
+	var pending []string
+	for i := range messages {
+		id := fmt.Sprint("n", i)
+		switch err := l.Write(accepted(id, []int{longBody, shortBody, shortBody}[i%3])); {
+		case err == nil:
+			written[id] = true
+			pending = append(pending, id)
+		case l.DiscardFailedWrite():
+			refused[id] = true
+		}
+		if len(pending) > keptMessages && l.Write(ledger.Record{Kind: ledger.Completed, ID: pending[0]}) == nil {
+			delete(written, pending[0])
+			pending = pending[1:]
+		}
+		if !sameAfterRestart(t, fmt.Sprintf("%s, after %s", name, id), folder, written, refused) {
+			break
+		}
+	}
+	return folder.Writes >= folder.FailUntil
+}
+
+// sameAfterRestart reports whether a process that starts now finds the written messages and none of the refused ones.
+func sameAfterRestart(t *testing.T, name string, folder *faulty.Folder, written, refused map[string]bool) bool {
+	t.Helper()
+	_, restored, _, err := ledger.Open(folder.Restart(), ledger.Options{LimitBytes: failedWriteLimit, ReadOnly: true})
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	found := map[string]bool{}
+	for _, p := range restored {
+		if found[p.Message.ID] = true; refused[p.Message.ID] {
+			t.Errorf("%s: %s was refused and is restored", name, p.Message.ID)
+			return false
+		}
+	}
+	for id := range written {
+		if !found[id] {
+			t.Errorf("%s: %s was accepted and is lost", name, id)
+			return false
+		}
+	}
+	return true
+}
