Mend: a client's connection closed, or answered 400, as a read of it fails for a moment

Callers saw: a request written in full whose connection ended with no answer, or 400 to a request that was whole. Cause: each error of a read but a time-out was taken for the client's end (clientConn.Read), and fasthttp answers a failed read within a request as a malformed one. Now an error ends the connection only if it says that the client is gone (syserr.ConnMayPass); else the read is tried again with a pause until the request's own time limit, counted and logged once a second. An idle time-out over unread bytes allows the time of a request once more.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"math"
 	"os"
 	"os/signal"
@@ -22,6 +23,7 @@
 	"orchiddrift/invariant"
 	"orchiddrift/platform"
 	"orchiddrift/push"
+	"orchiddrift/syserr"
 )
 
 // Phases of a graceful stop, counted from SIGTERM or SIGINT: notifications are accepted until stopIntakeAfter, pushes start
@@ -79,6 +81,7 @@
 	}
 	defer state.folder.Close()
 
+	systemErrors := syserr.NewRecorder(log)
 	agent := platform.NewAgent(cfg.Discovery, cfg.Known.Version, log)
 	agent.SetDialer(system.DialAgent)
 	runner := &gateway.Runner{Gateway: gateway.New(parts.scheduler, dir, state.ledger.HasRoom, parts.separateRoutes,
@@ -106,7 +109,11 @@
 		startup.recordStep("listener")
 	}
 	server := intake.NewServer(state.clock, parts.scheduler.TopicTTL, runner.Post, descriptorLimit(cfg.Limits.Sockets)/2, log)
-	server.SetMetrics(invariants, runner.Metrics.Write)
+	server.SetErrorRecorder(systemErrors)
+	server.SetMetrics(invariants, func(w io.Writer) {
+		runner.Metrics.Write(w)
+		systemErrors.Write(w)
+	})
 	done, failed := make(chan struct{}), make(chan error, 1)
 	stopLoop := sync.OnceFunc(func() { close(done) })
 	fail := func(err error) {
--- a/intake/client.go
+++ b/intake/client.go
@@ -10,6 +10,7 @@
 
 	"orchiddrift/invariant"
 	"orchiddrift/sock"
+	"orchiddrift/syserr"
 )
 
 // closeReason is the reason for closing a client's connection, as written to the log.
@@ -91,19 +92,52 @@
 		n, err = c.Conn.Read(b)
 		return c.acceptBytes(b[:n]), err
 	}
-	waitErr := c.rawConn.Read(func(fd uintptr) bool {
-		n, err = c.readUnlessClosed(int(fd), b)
-		return !errors.Is(err, syscall.EAGAIN)
-	})
-	switch {
-	case n > 0:
-		return n, nil
-	case waitErr != nil:
-		return 0, waitErr
-	case err != nil:
-		return 0, os.NewSyscallError("read", err)
+	extended := false
+	for pause := syserr.NewBackoff(maxReadRetry); ; {
+		waitErr := c.rawConn.Read(func(fd uintptr) bool {
+			n, err = c.readUnlessClosed(int(fd), b)
+			return !errors.Is(err, syscall.EAGAIN)
+		})
+		switch {
+		case n > 0:
+			return n, nil
+		case errors.Is(waitErr, os.ErrDeadlineExceeded) && !extended && c.extendIdleDeadline():
+			extended = true
+		case waitErr != nil:
+			return 0, waitErr
+		case err == nil:
+			return 0, io.EOF
+		case !syserr.ConnMayPass(err) || !c.pauseAfter(syserr.ClientRead, err, pause):
+			return 0, os.NewSyscallError("read", err)
+		}
+	}
+}
+
+// maxReadRetry limits the attempts to read after errors that may pass. The read deadlines end before it.
+const maxReadRetry = 2 * idleTimeout
+
+// pauseAfter records an error that may pass, waits, and reports whether to try again.
+func (c *clientConn) pauseAfter(call syserr.Call, err error, pause *syserr.Backoff) bool {
+	c.listener.lock.Lock()
+	id := c.requestID
+	c.listener.lock.Unlock()
+	if id == "" {
+		id = c.RemoteAddr().String()
 	}
-	return 0, io.EOF
+	c.listener.errors.Failed(call, id, err)
+	return pause.Wait()
+}
+
+// extendIdleDeadline allows the time of a request once more if the idle time-out has passed over bytes that are still in the
+// socket, because they have just arrived or could not be read. It reports whether it did.
+func (c *clientConn) extendIdleDeadline() bool {
+	c.listener.lock.Lock()
+	idle := !c.readClosed && !c.requestStarted
+	c.listener.lock.Unlock()
+	if !idle || !c.hasUnreadBytes() {
+		return false
+	}
+	return c.SetReadDeadline(time.Now().Add(ioTimeout)) == nil
 }
 
 // acceptBytes records bytes that were read and returns how many of them may be used. If the connection is closed for reading,
@@ -297,12 +331,16 @@
 	return !c.framer.failed && c.framer.completedRequests > c.handledRequests
 }
 
-// hasUnreadBytes reports whether bytes have arrived that were not read yet. Such a connection is not evicted: many connections
-// may be accepted before the first of them is read, and the bytes may be a complete request. The drawback is that a client
-// that sends faster than the server reads cannot be evicted.
+// hasUnreadBytes reports whether bytes have arrived that were not read yet, or may have because the look at the socket failed.
+// Such a connection is not evicted: many connections may be accepted before the first of them is read, and the bytes may be a
+// complete request. The drawback is that a client that sends faster than the server reads cannot be evicted.
 func (c *clientConn) hasUnreadBytes() bool {
-	n, _ := c.peek()
-	return n > 0
+	n, err := c.peek()
+	if n > 0 || err == nil || errors.Is(err, syscall.EAGAIN) {
+		return n > 0
+	}
+	c.listener.errors.Failed(syserr.ClientPeek, c.RemoteAddr().String(), err)
+	return syserr.ConnMayPass(err)
 }
 
 // peek returns 1 if bytes have arrived, else 0 and the error that a read would return. 0 without an error means the end of the
@@ -324,7 +362,7 @@
 		return c.discardUntilClosed()
 	}
 	n, err := c.peek()
-	return n == 0 && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+	return n == 0 && !syserr.ConnMayPass(err)
 }
 
 // discardUntilClosed drops the bytes that have arrived and reports whether the end of the stream follows them.
@@ -336,7 +374,7 @@
 		for n > 0 {
 			n, err = c.readNonBlocking(int(fd), b[:])
 		}
-		closed = !errors.Is(err, syscall.EAGAIN)
+		closed = !syserr.ConnMayPass(err)
 	})
 	return closed || err != nil
 }
--- a/intake/clients.go
+++ b/intake/clients.go
@@ -4,13 +4,13 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"orchiddrift/invariant"
+	"orchiddrift/syserr"
 )
 
 const (
@@ -35,6 +35,7 @@
 	maxConns         int
 	log              zerolog.Logger
 	invariants       *invariant.Counters
+	errors           *syserr.Recorder
 	lock             sync.Mutex           // guards the fields below, those of the connections, and assigning Listener
 	open             map[*clientConn]bool // accepted connections that are neither closed nor evicted
 	establishedCount int                  // open connections that have sent a complete request
@@ -52,8 +53,8 @@
 			return nil, err
 		}
 		if err != nil {
-			l.log.Warn().Err(err).Msg("accept failed")
-			if !outOfResources(err) || !l.evictOne() {
+			l.errors.Failed(syserr.Accept, "", err)
+			if !syserr.OutOfResources(err) || !l.evictOne() {
 				time.Sleep(retryDelay)
 			}
 			continue
@@ -141,19 +142,12 @@
 	}
 }
 
-// outOfResources reports whether an accept failed because file descriptors or memory are exhausted.
-func outOfResources(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
-		errors.Is(err, syscall.ENOMEM)
-}
-
 // linger keeps a connection open after its write side was shut down, until the client closes its side or lingerTimeout passes.
 // Closing a socket that holds unread bytes resets the connection, which can destroy a response on its way. After an answered
 // request nothing more is read: the client can see that later requests were not processed and send them elsewhere. With
 // discard, the rest of a request that could not be parsed is read and dropped, since that request was already answered.
 func (l *limitListener) linger(c *clientConn, discard bool) {
-	b := newBackoff(lingerTimeout)
-	for b.wait() {
+	for pause := syserr.NewBackoff(lingerTimeout); pause.Wait(); {
 		if c.peerClosed(discard) {
 			break
 		}
@@ -164,29 +158,6 @@
 	l.lock.Unlock()
 }
 
-// backoff paces polling with increasing delays for a limited total time.
-type backoff struct {
-	deadline  time.Time
-	nextDelay time.Duration // before the next poll
-}
-
-// newBackoff returns a backoff that allows polling for the given total time from now.
-func newBackoff(total time.Duration) *backoff {
-	return &backoff{deadline: time.Now().Add(total), nextDelay: time.Millisecond}
-}
-
-// wait sleeps and reports whether to poll again, which is false once the total time has passed.
-func (b *backoff) wait() bool {
-	const maxDelay = 64 * time.Millisecond // longest delay between two polls
-	remaining := time.Until(b.deadline)
-	if remaining <= 0 {
-		return false
-	}
-	time.Sleep(min(b.nextDelay, remaining))
-	b.nextDelay = min(2*b.nextDelay, maxDelay)
-	return true
-}
-
 // trackState records that a request has begun to arrive, that it was answered, or that the connection is closed. It is the
 // ConnState callback of the HTTP server.
 func trackState(conn net.Conn, s fasthttp.ConnState) {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -18,6 +18,7 @@
 	"orchiddrift/gateway"
 	"orchiddrift/invariant"
 	"orchiddrift/message"
+	"orchiddrift/syserr"
 )
 
 const (
@@ -61,6 +62,9 @@
 	s.listener.invariants, s.writeMetrics = invariants, writeMetrics
 }
 
+// SetErrorRecorder sets what records failed system calls. It must be called before Serve.
+func (s *Server) SetErrorRecorder(errors *syserr.Recorder) { s.listener.errors = errors }
+
 // Serve serves connections from a listener until Close is called.
 func (s *Server) Serve(ln net.Listener) error {
 	s.listener.lock.Lock()
