Mend: a client's connection closed with its answer half written as a write fails for a moment

Callers saw: no answer, or a cut one, to a request whose message was taken on and pushed. Cause: clientConn.Write gave each error of a write to the HTTP server, which closes the connection. Now the rest of the answer is written again after a pause unless the client is gone, until the write deadline. A response that could not be written by then is reported as closed unanswered; before, the client counted as gone.

--- a/intake/client.go
+++ b/intake/client.go
@@ -19,12 +19,13 @@
 // Reasons for closing a connection.
 const (
 	closedByClient    closeReason = "client left"
-	idleTimedOut      closeReason = "idle"            // idleTimeout passed without a request
-	afterLastResponse closeReason = "last answer"     // the last response announced Connection: close
-	badRequest        closeReason = "unreadable"      // the request was malformed or not complete in time
-	evictedForRoom    closeReason = "made room"       // closed to admit another connection
-	serverStopping    closeReason = "planned stop"    // Server.Close was called
-	noneEvictable     closeReason = "all others busy" // not admitted: the limit was reached and no connection could be evicted
+	idleTimedOut      closeReason = "idle"               // idleTimeout passed without a request
+	afterLastResponse closeReason = "last answer"        // the last response announced Connection: close
+	badRequest        closeReason = "unreadable"         // the request was malformed or not complete in time
+	evictedForRoom    closeReason = "made room"          // closed to admit another connection
+	serverStopping    closeReason = "planned stop"       // Server.Close was called
+	responseUnwritten closeReason = "answer not written" // writing the response failed until its time was over
+	noneEvictable     closeReason = "all others busy"    // not admitted: the limit was reached and no connection could be evicted
 )
 
 // clientConn is a connection from a client. Reading from it and closing it for reading both happen under the lock of its
@@ -189,34 +190,43 @@
 func (c *clientConn) Write(b []byte) (int, error) {
 	n, err := c.writeBytes(b)
 	c.listener.lock.Lock()
-	if c.responded = true; err != nil {
+	defer c.listener.lock.Unlock()
+	switch {
+	case err == nil:
+		c.responded = true
+	case syserr.ConnMayPass(err):
+		c.setReason(responseUnwritten)
+	default: // the client is gone, or does not take its response
 		c.setReason(closedByClient)
 	}
-	c.listener.lock.Unlock()
 	return n, err
 }
 
-// writeBytes writes all of b, waiting while the socket's buffer is full.
-func (c *clientConn) writeBytes(b []byte) (int, error) {
+// writeBytes writes all of b, waiting while the socket's buffer is full. After an error that may pass it tries again with the
+// rest, until the write deadline.
+func (c *clientConn) writeBytes(b []byte) (written int, err error) {
 	if c.rawConn == nil {
 		return c.Conn.Write(b)
 	}
-	written, callErr := 0, error(nil)
-	err := c.rawConn.Write(func(fd uintptr) bool {
-		for written < len(b) {
-			n, err := c.calls.Write(int(fd), b[written:])
+	for pause := syserr.NewBackoff(ioTimeout); ; {
+		waitErr := c.rawConn.Write(func(fd uintptr) bool {
+			var n int
+			n, err = c.calls.Write(int(fd), b[written:])
 			written += max(0, n)
-			if errors.Is(err, syscall.EAGAIN) {
-				return false
-			}
-			if err != nil && !errors.Is(err, syscall.EINTR) {
-				callErr = os.NewSyscallError("write", err)
-				return true
-			}
+			return !errors.Is(err, syscall.EAGAIN)
+		})
+		switch {
+		case waitErr != nil && err != nil && !errors.Is(err, syscall.EAGAIN): // the deadline has passed during a pause
+			return written, os.NewSyscallError("write", err)
+		case waitErr != nil:
+			return written, waitErr
+		case err == nil && written == len(b):
+			return written, nil
+		case err == nil: // the buffer took a part
+		case !syserr.ConnMayPass(err) || !c.pauseAfter(syserr.ClientWrite, err, pause):
+			return written, os.NewSyscallError("write", err)
 		}
-		return true
-	})
-	return written, errors.Join(err, callErr)
+	}
 }
 
 // SetReadDeadline sets the read deadline. It has no effect once the connection is closed for reading, since a read must not
--- a/intake/failing_calls_test.go
+++ b/intake/failing_calls_test.go
@@ -3,12 +3,16 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
+	"orchiddrift/invariant"
 	"orchiddrift/sock"
 )
 
@@ -68,3 +72,58 @@
 		t.Error("the client counts as gone")
 	}
 }
+
+// failingWrites are socket calls whose writes fail, after one byte, until the count is used up.
+type failingWrites struct {
+	sock.HostCalls
+	left atomic.Int32
+}
+
+func (c *failingWrites) Write(fd int, b []byte) (int, error) {
+	if c.left.Add(-1) >= 0 {
+		if n, err := c.HostCalls.Write(fd, b[:1]); err != nil {
+			return n, err
+		}
+		return 1, syscall.ENOBUFS
+	}
+	return c.HostCalls.Write(fd, b)
+}
+
+// Guards against a response that is cut, or written twice in part, because writes fail for a moment after some of its bytes.
+func TestResponseWholeAfterFailedWrites(t *testing.T) {
+	calls := &failingWrites{}
+	calls.left.Store(5)
+	ts := newTestServer(t)
+	ln, err := sock.Listen("127.0.0.1:0", calls)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ts.Listener = ln
+	ts.serve()
+	conn := ts.dial(t)
+	for range 2 {
+		fmt.Fprint(conn, validRequest)
+		if resp := readResponse(t, conn); resp.StatusCode != http.StatusAccepted || resp.Close {
+			t.Fatalf("status %d, close %v", resp.StatusCode, resp.Close)
+		}
+	}
+}
+
+// Guards against a response that never leaves while the connection counts as left by its client: writes that fail for good are
+// reported as a request that was closed unanswered.
+func TestUnwrittenResponseIsReported(t *testing.T) {
+	calls, counts := &failingWrites{}, &invariant.Counters{}
+	calls.left.Store(1 << 30)
+	l := listenWith(t, calls)
+	l.invariants = counts
+	c := acceptWithRequest(t, l)
+	c.requestStarted, c.requestComplete = true, true
+	_ = c.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+	if _, err := c.Write([]byte(strings.Repeat("x", 4000))); err == nil {
+		t.Fatal("the write succeeded")
+	}
+	_ = c.Close()
+	if n := counts.Count(invariant.ClosedUnanswered); n != 1 {
+		t.Errorf("%d violations counted, want 1", n)
+	}
+}
