Mend: a connection just accepted closed as the next accept fails

Callers saw: a new connection that ended as its first request was written. Cause: after an accept that failed for lack of resources one connection was closed at once, the newest without a request first served; with one failed call that is the client that has just come.

--- a/intake/clients.go
+++ b/intake/clients.go
@@ -47,18 +47,17 @@
 // Accept waits for the next connection. It returns an error only if the listener is closed: it retries after the failure of
 // a single connection or a lack of resources. If there is no file descriptor left, it evicts a connection.
 func (l *limitListener) Accept() (net.Conn, error) {
-	for {
+	for failures := 0; ; {
 		conn, err := l.Listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil, err
 		}
 		if err != nil {
-			l.errors.Failed(syserr.Accept, "", err)
-			if !syserr.OutOfResources(err) || !l.evictOne() {
-				time.Sleep(retryDelay)
-			}
+			failures++
+			l.handleAcceptError(err, failures)
 			continue
 		}
+		failures = 0
 		c := newClientConn(l, conn)
 		if l.admit(c) {
 			return c, nil
@@ -68,6 +67,17 @@
 	}
 }
 
+// handleAcceptError records the error of an accept, pauses, and closes a connection if resources are used up. The pause lets the
+// first request arrive on connections that were accepted just before. failures counts the accepts that failed in a row: if closing
+// connections does not help, they are closed at longer and longer intervals.
+func (l *limitListener) handleAcceptError(err error, failures int) {
+	l.errors.Failed(syserr.Accept, "", err)
+	time.Sleep(retryDelay)
+	if isPowerOfTwo := failures&(failures-1) == 0; isPowerOfTwo && syserr.OutOfResources(err) {
+		l.evictOne()
+	}
+}
+
 // admit adds a connection to the open ones and reports whether it was added. It evicts another one if the limit is reached.
 func (l *limitListener) admit(c *clientConn) bool {
 	l.lock.Lock()
