Mend: a new connection reset as the poller cannot register it for a moment

Callers saw: a reset of a new connection with a request on its way. Cause: the runtime closes a socket that it cannot register (epoll_ctl ENOMEM, ENOSPC). Now sock.Listener keeps the descriptor and registers a duplicate after a pause, for 3 s at most, counted.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -67,6 +67,9 @@
 
 // Serve serves connections from a listener until Close is called.
 func (s *Server) Serve(ln net.Listener) error {
+	if l, ok := ln.(interface{ SetErrorRecorder(*syserr.Recorder) }); ok {
+		l.SetErrorRecorder(s.listener.errors)
+	}
 	s.listener.lock.Lock()
 	s.listener.Listener = ln
 	s.listener.lock.Unlock()
--- a/sock/sock.go
+++ b/sock/sock.go
@@ -7,8 +7,13 @@
 	"errors"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
+
+	"orchiddrift/syserr"
 )
 
 // Calls are the system calls on the sockets of clients. Descriptors are non-blocking. Errors are of type syscall.Errno.
@@ -64,6 +69,8 @@
 	raw     syscall.RawConn
 	address net.Addr
 	calls   Calls
+	errors  *syserr.Recorder // may be nil
+	closed  atomic.Bool      // Close was called
 }
 
 // Listen returns a listener on a TCP address, whose system calls are those given.
@@ -84,11 +91,17 @@
 	return &Listener{file: file, raw: raw, address: ln.Addr(), calls: calls}, nil
 }
 
+// SetErrorRecorder sets what records failed registrations. It must be called before Accept.
+func (l *Listener) SetErrorRecorder(errors *syserr.Recorder) { l.errors = errors }
+
 // Addr returns the address that the listener is bound to.
 func (l *Listener) Addr() net.Addr { return l.address }
 
 // Close closes the listening socket. Connections that nobody has accepted are reset.
-func (l *Listener) Close() error { return l.file.Close() }
+func (l *Listener) Close() error {
+	l.closed.Store(true)
+	return l.file.Close()
+}
 
 // Accept waits for the next connection. After Close it returns net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) { return l.accept(l.raw.Read) }
@@ -108,7 +121,7 @@
 		return !errors.Is(callErr, syscall.EAGAIN)
 	})
 	switch {
-	case errors.Is(err, os.ErrClosed):
+	case err != nil && l.closed.Load():
 		return nil, net.ErrClosed
 	case err != nil:
 		return nil, err
@@ -120,10 +133,24 @@
 	return l.connect(fd, peer)
 }
 
-// connect returns the connection of an accepted descriptor.
+// maxRegisterRetry limits the attempts to register a connection. Clients have left by then.
+const maxRegisterRetry = 3 * time.Second
+
+// connect returns the connection of an accepted descriptor. A connection that was set up may already hold a request, so it is
+// not closed because the poller cannot register it just now.
 func (l *Listener) connect(fd int, peer syscall.Sockaddr) (net.Conn, error) {
 	_ = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1) // small responses would only leave later
 	file, err := l.calls.Register(fd)
+	for pause := syserr.NewBackoff(maxRegisterRetry); err != nil && pause.Wait(); {
+		l.errors.Failed(syserr.Register, "", err)
+		duplicate, dupErr := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 0) // a descriptor cannot be registered twice
+		if dupErr != nil {
+			continue
+		}
+		_ = file.Close()
+		fd = duplicate
+		file, err = l.calls.Register(fd)
+	}
 	if err != nil {
 		_ = file.Close()
 		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.address, Err: os.NewSyscallError("epoll_ctl", err)}
--- a/syserr/recorder.go
+++ b/syserr/recorder.go
@@ -18,6 +18,7 @@
 // The calls that are counted.
 const (
 	Accept       Call = "accept"
+	Register     Call = "register with the poller"
 	ClientRead   Call = "client read"
 	ClientWrite  Call = "client write"
 	ClientPeek   Call = "client peek"
