Mend: connections set up by the system are reset as the listener closes at a stop

Callers saw: resets 0.50 s after SIGTERM, requests written in full. Cause: while accept fails, connections wait in the kernel's queue; Server.Close closed the listening socket over them. Evidence: 8 closed at 0.50 s with accept failing until then; TestStopWhileCallsFail (accept 1 to 3 for 1 s). Now the listener is drained: Accept returns what is set up, and the socket is closed once none is pending. IntakeClosed waits for that.

--- a/intake/clients.go
+++ b/intake/clients.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"orchiddrift/invariant"
+	"orchiddrift/sock"
 	"orchiddrift/syserr"
 )
 
@@ -41,7 +42,8 @@
 	establishedCount int                  // open connections that have sent a complete request
 	lingeringCount   int                  // connections, not among the open ones, that wait for their client to close
 	activityCount    int                  // number of accepted connections and responses; source of clientConn.lastActivity
-	stopping         bool                 // the server is stopping: no connection is accepted, and any number may linger
+	stopping         bool                 // the server is stopping: any number of connections may linger
+	accepting        bool                 // connections that are set up may still have to be accepted
 }
 
 // Accept waits for the next connection. It returns an error only if the listener is closed: it retries after the failure of
@@ -49,8 +51,9 @@
 func (l *limitListener) Accept() (net.Conn, error) {
 	for failures := 0; ; {
 		conn, err := l.Listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil, err
+		if errors.Is(err, sock.ErrNonePending) || errors.Is(err, net.ErrClosed) {
+			l.endAccepting()
+			return nil, net.ErrClosed
 		}
 		if err != nil {
 			failures++
@@ -67,6 +70,27 @@
 	}
 }
 
+// endAccepting closes the listening socket once no connection is pending on it.
+func (l *limitListener) endAccepting() {
+	_ = l.Listener.Close()
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.accepting = false
+}
+
+// stopAccepting ends Accept once it has returned the connections that are set up already. They may hold requests, and closing the
+// listening socket would reset them. A listener that cannot tell which ones are set up is closed at once.
+func (l *limitListener) stopAccepting() error {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	drainer, ok := l.Listener.(interface{ Drain() error })
+	if !ok {
+		return l.Listener.Close()
+	}
+	l.accepting = true
+	return drainer.Drain()
+}
+
 // handleAcceptError records the error of an accept, pauses, and closes a connection if resources are used up. The pause lets the
 // first request arrive on connections that were accepted just before. failures counts the accepts that failed in a row: if closing
 // connections does not help, they are closed at longer and longer intervals.
@@ -122,7 +146,8 @@
 }
 
 // closeIdle marks the listener as stopping, closes all connections that have no request in progress and no unread bytes, and
-// returns the number of connections that are left, including the lingering ones and those being closed.
+// returns the number of connections that are left, including the lingering ones and those being closed. Those that are not
+// accepted yet count as one.
 func (l *limitListener) closeIdle() int {
 	l.lock.Lock()
 	defer l.lock.Unlock()
@@ -134,7 +159,11 @@
 			c.interruptRead()
 		}
 	}
-	return len(l.open) + l.lingeringCount
+	left := len(l.open) + l.lingeringCount
+	if l.accepting {
+		left++
+	}
+	return left
 }
 
 // remove removes a connection from the open ones. The caller holds the lock.
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -89,7 +89,7 @@
 	if ln == nil { // Serve was not called yet
 		return nil
 	}
-	err := ln.Close()
+	err := s.listener.stopAccepting()
 	s.listener.waitClosed()
 	return err
 }
--- a/sock/sock.go
+++ b/sock/sock.go
@@ -71,6 +71,7 @@
 	calls   Calls
 	errors  *syserr.Recorder // may be nil
 	closed  atomic.Bool      // Close was called
+	drained atomic.Bool      // Drain was called
 }
 
 // Listen returns a listener on a TCP address, whose system calls are those given.
@@ -103,8 +104,22 @@
 	return l.file.Close()
 }
 
-// Accept waits for the next connection. After Close it returns net.ErrClosed.
-func (l *Listener) Accept() (net.Conn, error) { return l.accept(l.raw.Read) }
+// Accept waits for the next connection. After Drain it returns ErrNonePending instead of waiting, and after Close net.ErrClosed.
+func (l *Listener) Accept() (net.Conn, error) {
+	if !l.drained.Load() {
+		conn, err := l.accept(l.raw.Read)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return conn, err
+		}
+	}
+	return l.AcceptPending()
+}
+
+// Drain makes Accept return only connections that are set up already, and ends a waiting one.
+func (l *Listener) Drain() error {
+	l.drained.Store(true)
+	return l.file.SetReadDeadline(time.Unix(1, 0))
+}
 
 // AcceptPending returns a connection that is already set up, or ErrNonePending.
 func (l *Listener) AcceptPending() (net.Conn, error) {
--- a/sock/sock_test.go
+++ b/sock/sock_test.go
@@ -90,6 +90,16 @@
 		t.Fatal(err)
 	}
 	conn.Close()
+	waiting := make(chan error, 1)
+	go func() { _, err := l.Accept(); waiting <- err }()
+	time.Sleep(10 * time.Millisecond)
+	if err := l.Drain(); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-waiting; !errors.Is(err, ErrNonePending) {
+		t.Errorf("%v, want none pending after Drain", err)
+	}
+	l, _, _ = pair(t, HostCalls{})
 	done := make(chan error, 1)
 	go func() { _, err := l.Accept(); done <- err }()
 	time.Sleep(10 * time.Millisecond)
