Mend: an accepted message lost after a restart, as a segment's header was stored though its write failed

Callers saw (by test, not in service): 202, and no end. Cause: activateSegment failed, a later record still fit into the older segment and was appended there, but the stored header tells the next process that the log went on without it. Evidence: TestFailedWriteStoredAnyway, writes 9, 23 and 37 of the sequence with all bytes stored; the first is the message after the one that needed the segment. Now nothing is appended before the header has been written again.

--- a/seglog/seglog.go
+++ b/seglog/seglog.go
@@ -51,7 +51,10 @@
 	lastSeq             uint64 // sequence number of the last record, including records of failed writes
 	lastGoodSeq         uint64 // sequence number of the last record that was written successfully
 	failedWriteReadable bool   // a failed write has not been discarded: a process that opens the log now may read it
-	buf                 []byte // encoded records of the current or last Append
+	// headerUncertain: writing the header of the next segment failed, and it may be stored nevertheless. Records appended to the
+	// segment before it would then count as those of a failed write.
+	headerUncertain bool
+	buf             []byte // encoded records of the current or last Append
 }
 
 // segment is a segment file, in use or free.
@@ -281,7 +284,7 @@
 		return 0, err
 	}
 	s := l.active()
-	if s == nil || s.wipeFailed || s.writeOffset+len(l.buf) > s.size {
+	if s == nil || s.wipeFailed || l.headerUncertain || s.writeOffset+len(l.buf) > s.size {
 		var err error
 		if s, err = l.activateSegment(); err != nil {
 			return 0, err
@@ -370,9 +373,11 @@
 	binary.LittleEndian.PutUint32(b[8:], uint32(l.lastSegmentNumber+1))
 	binary.LittleEndian.PutUint64(b[12:], l.lastGoodSeq)
 	binary.LittleEndian.PutUint32(b[HeaderSize-4:], crc32.Checksum(b[:HeaderSize-4], crcTable))
+	l.headerUncertain = true
 	if n, err := s.file.WriteAt(b, 0); n < len(b) || err != nil {
 		return nil, fmt.Errorf("%s: %w", s.name, orShortWrite(err))
 	}
+	l.headerUncertain = false
 	l.lastSegmentNumber++
 	s.number, s.writeOffset, s.wipeFailed = l.lastSegmentNumber, HeaderSize, false
 	l.free, l.inUse = l.free[1:], append(l.inUse, s)
