Mend: refusals wait while a failing disk has stored nothing of the message

Cause: wipeFailedWrite knew of writing alone, so a refusal waited until the disk could be written again, although the failed write had stored nothing. Now the log reads back what the file holds where the failed record would be: if no record of it is whole there, no later process can read it and the refusal goes at once, with sync as well, since a page that does not hold it cannot have brought it to the disk. A failed sync and a stored record are wiped as before. TestRefusalWhileWritesFail, red without this; the ledger's crash tests and the model check pass.

--- a/ledger/failed_write_test.go
+++ b/ledger/failed_write_test.go
@@ -82,3 +82,34 @@
 	}
 	return true
 }
+
+// Guards against refusals that wait while a failing disk has stored nothing of the message: whether a later process could read its
+// record can be told at once, also with sync. Where the record was stored it has to be wiped first.
+func TestRefusalWhileWritesFail(t *testing.T) {
+	for _, sync := range []bool{false, true} {
+		for _, keep := range []float64{0, 0.5, 1} {
+			folder := faulty.New()
+			l, _, _, err := ledger.Open(folder, ledger.Options{LimitBytes: failedWriteLimit, Sync: sync})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := range 3 { // the reserved files are there from then on
+				if err := l.Write(accepted(fmt.Sprint("n", i), 10)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			folder.FailFrom, folder.FailUntil, folder.FailKeep = folder.Writes+1, 1<<30, keep
+			if l.Write(accepted("refused", 10)) == nil {
+				t.Fatal("the write succeeded")
+			}
+			if discarded, want := l.DiscardFailedWrite(), keep < 1; discarded != want {
+				t.Errorf("sync %v, %.0f%% stored: discarded %v, want %v", sync, 100*keep, discarded, want)
+			}
+			folder.FailUntil = 0
+			if !l.DiscardFailedWrite() {
+				t.Errorf("sync %v, %.0f%% stored: not discarded on a disk that works again", sync, 100*keep)
+			}
+			sameAfterRestart(t, fmt.Sprintf("sync %v, %.0f%% stored", sync, 100*keep), folder, map[string]bool{"n0": true}, map[string]bool{"refused": true})
+		}
+	}
+}
--- a/seglog/seglog.go
+++ b/seglog/seglog.go
@@ -292,7 +292,9 @@
 	}
 	l.lastSeq = seq // also if the write fails, so that what it leaves has lower numbers than the records that overwrite it
 	if n, err := s.file.WriteAt(l.buf, int64(s.writeOffset)); n < len(l.buf) || err != nil {
-		l.wipeFailedWrite(s)
+		if l.mayBeStored(s) {
+			l.wipeFailedWrite(s)
+		}
 		return 0, fmt.Errorf("%s: %w", s.name, orShortWrite(err))
 	}
 	if l.sync {
@@ -316,6 +318,17 @@
 	return err
 }
 
+// mayBeStored reports whether a record of the write that has just failed may be stored, by reading what the file holds in its place.
+// What was not stored then is not on the disk either: it would have come there from the same pages.
+func (l *Log) mayBeStored(s *segment) bool {
+	b := make([]byte, len(l.buf))
+	if n, err := s.file.ReadAt(b, int64(s.writeOffset)); n < len(b) || err != nil && !errors.Is(err, io.EOF) {
+		return true
+	}
+	n, _ := parseRecord(b, l.lastGoodSeq)
+	return n > 0 || findNextRecord(b, l.lastGoodSeq, l.lastSeq) > 0
+}
+
 // wipeFailedWrite overwrites with zeros what a failed write may have left. If that fails too, the log continues in another
 // segment, whose header holds the sequence number of the last valid record. Until that header is written, a process that
 // opens the log may read the failed write.
