Mend: a stop ends with requests unanswered and records unwritten

Cause: the exit asked the gateway alone; what the runner still owed, refusals that wait for the disk and deferred records, was dropped as the loop ended. Now package permit decides, in one place, what may be sent, answered, recorded and ended; the exit waits for each reply, each record and the clients' connections, 30 s after SIGTERM at most, and logs what for. Calls and notices are waited for until 3.4 s as before. Package invariant counts replies given twice, confirmations that are not written, and ends with something owed.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -27,11 +27,13 @@
 )
 
 // Phases of a graceful stop, counted from SIGTERM or SIGINT: notifications are accepted until stopIntakeAfter, pushes start
-// until stopPushesAfter, and pushes that are still out may end until exitAfter.
+// until stopPushesAfter, and pushes that are still out may end until exitAfter. Requests without an answer, and records that are
+// not written, hold the process until abandonAfter.
 const (
 	stopIntakeAfter = 500 * time.Millisecond
 	stopPushesAfter = 2200 * time.Millisecond
 	exitAfter       = 3400 * time.Millisecond
+	abandonAfter    = 30 * time.Second
 )
 
 // firstListTimeout is the maximum time after the start for which pushes wait for the first list from discovery.
@@ -89,6 +91,7 @@
 		Ledger: state.ledger, Platform: agent, Clock: state.clock, Tick: parts.tick, Log: log, Events: make(chan gateway.Event, eventQueueSize),
 		WritePerEvent: cfg.Ledger.Sync == syncAlways, Dialer: push.Dialer(system.Dial), Metrics: gateway.NewMetrics()}
 	invariants := &invariant.Counters{Log: log, Strict: system.PanicOnViolation}
+	runner.Replies = invariant.NewReplyChecker(invariants)
 	firstListBy := state.clock() + firstListTimeout.Seconds()
 	runner.Gateway.SetSendChecker(invariant.NewSendChecker(invariants,
 		invariant.Margins{DrainGrace: parts.drainGrace, KeyHold: parts.scheduler.KeyCooldown()}, firstListBy))
@@ -159,7 +162,7 @@
 	return err
 }
 
-// stop carries out the phases of a graceful stop. It returns after exitAfter.
+// stop carries out the phases of a graceful stop. It returns after abandonAfter.
 func stop(server *intake.Server, runner *gateway.Runner, stopLoop func()) {
 	startedAt := time.Now()
 	server.DisableKeepAlives()
@@ -171,6 +174,8 @@
 	time.Sleep(stopPushesAfter - time.Since(startedAt))
 	runner.Post(gateway.PushesStopped{})
 	time.Sleep(exitAfter - time.Since(startedAt))
+	runner.Post(gateway.ExitDue{})
+	time.Sleep(abandonAfter - time.Since(startedAt))
 	stopLoop()
 }
 
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -10,6 +10,7 @@
 	"orchiddrift/invariant"
 	"orchiddrift/ledger"
 	"orchiddrift/message"
+	"orchiddrift/permit"
 	"orchiddrift/push"
 )
 
@@ -242,12 +243,19 @@
 	return ledger.Record{Kind: ledger.CallNotRun, ID: id, CallNumber: c.ID, Unsent: outcome.Unsent}, true
 }
 
-// MaySend reports whether a call may still be sent: the endpoint is still listed as ready, no wait was told since the
-// call was placed, pushes are neither stopped nor held back, and its latest start has not passed.
+// MaySend reports whether a call may still be sent.
 func (g *Gateway) MaySend(now float64, c *Call) bool {
 	listed, _ := g.directory.Find(c.Endpoint.Dest, c.Endpoint.ID)
-	return listed.Stage == directory.Ready && g.lastToldWait[g.throttleKeyOf(c.Endpoint)] < c.placedAt &&
-		!g.pushesStopped && g.noPushBefore() <= now && now <= c.startBy
+	state := c.permitState(now)
+	state.EndpointReady = listed.Stage == directory.Ready
+	state.PlacedAt, state.WaitToldAt = c.placedAt, g.lastToldWait[g.throttleKeyOf(c.Endpoint)]
+	state.PushesStopped, state.NoPushBefore = g.pushesStopped, g.noPushBefore()
+	return permit.SendCall(state) == permit.Granted
+}
+
+// permitState returns what decides whether the call may start, as far as the call itself knows it.
+func (c *Call) permitState(now float64) permit.Call {
+	return permit.Call{Now: now, StartBy: c.startBy, Remaining: c.Remaining(now), MinBudget: push.MinBudget}
 }
 
 // noSocketPause is the pause of all pushes, in seconds, after the process could not open a socket.
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -8,7 +8,7 @@
 )
 
 // Event is an input of Gateway.Step: Arrived, AcceptFailed, Dialed, CallEnded, LateWait, Listed, ListLost,
-// NoticeAnswered, IntakeClosed or PushesStopped.
+// NoticeAnswered, IntakeClosed, PushesStopped or ExitDue.
 type Event interface{ event() }
 
 // Arrived reports a message submitted by a client. Reply is called exactly once.
@@ -57,6 +57,9 @@
 // PushesStopped reports that no push may start any more during shutdown, because it could not end before the process exits.
 type PushesStopped struct{}
 
+// ExitDue reports that the time of calls that are in flight, and of unanswered notices, is over during shutdown.
+type ExitDue struct{}
+
 func (Arrived) event()        {}
 func (AcceptFailed) event()   {}
 func (Dialed) event()         {}
@@ -67,6 +70,7 @@
 func (NoticeAnswered) event() {}
 func (IntakeClosed) event()   {}
 func (PushesStopped) event()  {}
+func (ExitDue) event()        {}
 
 // Reply is the answer to the client that submitted a message.
 type Reply struct {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"orchiddrift/invariant"
 	"orchiddrift/ledger"
 	"orchiddrift/message"
+	"orchiddrift/permit"
 	"orchiddrift/push"
 )
 
@@ -42,6 +43,7 @@
 	lastCallID     uint64                     // number of the latest call prepared for sending
 	intakeClosed   bool                       // the process is shutting down and clients can no longer connect
 	pushesStopped  bool                       // no push may start any more
+	exitDue        bool                       // the process may exit although calls are in flight
 	listWaitUntil  float64                    // no push starts before the first response of discovery or this time
 	pausedUntil    float64                    // no push starts before this time
 	// Requests read until socketDelayUntil, shortly after a stall, may have waited in their sockets for up to socketDelay.
@@ -119,18 +121,23 @@
 // Pending returns the number of accepted messages that are not settled yet.
 func (g *Gateway) Pending() int { return len(g.pending) }
 
-// Finished reports whether the process may exit: clients can no longer connect, and either no message is pending, or
-// pushes have been stopped, none is in progress and no notice is unanswered. Messages that are still pending then stay in
-// the ledger.
-func (g *Gateway) Finished() bool {
+// ExitState returns what decides whether the process may exit, as far as the gateway knows it.
+func (g *Gateway) ExitState() permit.Process {
+	state := permit.Process{IntakeClosed: g.intakeClosed, PushesStopped: g.pushesStopped, ExitDue: g.exitDue, Pending: len(g.pending)}
 	for _, p := range g.pending {
-		if !g.pushesStopped || p.call != nil || p.noticePending {
-			return false
+		if p.call != nil {
+			state.CallsInFlight++
+		}
+		if p.noticePending {
+			state.NoticesOpen++
 		}
 	}
-	return g.intakeClosed
+	return state
 }
 
+// Finished reports whether the process may exit, as far as the gateway knows.
+func (g *Gateway) Finished() bool { return permit.Exit(g.ExitState()) == permit.Granted }
+
 // Step applies an event and returns the effects to carry out.
 func (g *Gateway) Step(now float64, e Event) []Effect {
 	switch e := e.(type) {
@@ -159,6 +166,8 @@
 		g.intakeClosed = true
 	case PushesStopped:
 		g.pushesStopped = true
+	case ExitDue:
+		g.exitDue = true
 	}
 	return g.takeEffects()
 }
@@ -217,12 +226,8 @@
 		g.emit(Answer{m.ID, e.Respond, Reply{Accepted: true}})
 		return
 	}
-	if g.pushesStopped {
-		g.emit(Answer{m.ID, e.Respond, Reply{Reason: ShuttingDown}})
-		return
-	}
-	if !g.hasRoom(len(m.Body)) {
-		g.emit(Answer{m.ID, e.Respond, Reply{Reason: LedgerFull}})
+	if denial := permit.Accept(permit.Arrival{PushesStopped: g.pushesStopped, LedgerRoom: g.hasRoom(len(m.Body))}); denial != permit.Granted {
+		g.emit(Answer{m.ID, e.Respond, Reply{Reason: refusalReasons[denial]}})
 		return
 	}
 	if now <= g.socketDelayUntil {
@@ -239,6 +244,9 @@
 	g.emit(Accept{m, e.Respond})
 }
 
+// refusalReasons are the reasons that clients and metrics are told, by the reason against an arrival.
+var refusalReasons = map[permit.Denial]Refusal{permit.ShuttingDown: ShuttingDown, permit.LedgerFull: LedgerFull}
+
 // registerWithChecker informs the checker of a message that is pending from now on.
 func (g *Gateway) registerWithChecker(m *message.Message) {
 	topic := g.scheduler.Topic(m.Topic)
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -113,6 +113,8 @@
 		r.listFailureLogged = true
 	case IntakeClosed:
 		r.Log.Info().Int("held", r.Gateway.Pending()).Msg("shutdown: clients can no longer connect")
+	case ExitDue:
+		r.Log.Info().Int("held", r.Gateway.Pending()).Msg("shutdown: calls in flight are no longer waited for")
 	case PushesStopped:
 		r.Log.Info().Int("held", r.Gateway.Pending()).Msg("shutdown: no further push starts")
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -6,7 +6,9 @@
 
 	"github.com/rs/zerolog"
 
+	"orchiddrift/invariant"
 	"orchiddrift/ledger"
+	"orchiddrift/permit"
 	"orchiddrift/push"
 )
 
@@ -27,16 +29,19 @@
 	Clock              func() float64 // current time, in seconds
 	Tick               float64        // minimum time between two rounds, in seconds
 	Log                zerolog.Logger
-	Events             chan Event       // events that Run has not applied yet
-	Dialer             push.Dialer      // nil for the system's dialer
-	WritePerEvent      bool             // write, and sync, the records of each event separately
-	Metrics            *Metrics         // may be nil
-	listFailureLogged  bool             // the last watch or fetch of the list failed, and that has been logged
-	effects            []Effect         // not carried out yet
-	writeFailureLogged bool             // the last write failed, and that has been logged
-	deferred           []deferredEffect // effects that wait for the ledger, in order
-	pendingRefusals    []pendingRefusal // refusals that may not be sent yet
-	wakeAt             float64          // time for which the next iteration of the loop was scheduled
+	Events             chan Event              // events that Run has not applied yet
+	Dialer             push.Dialer             // nil for the system's dialer
+	WritePerEvent      bool                    // write, and sync, the records of each event separately
+	Metrics            *Metrics                // may be nil
+	Replies            *invariant.ReplyChecker // may be nil
+	listFailureLogged  bool                    // the last watch or fetch of the list failed, and that has been logged
+	effects            []Effect                // not carried out yet
+	writeFailureLogged bool                    // the last write failed, and that has been logged
+	deferred           []deferredEffect        // effects that wait for the ledger, in order
+	pendingRefusals    []pendingRefusal        // refusals that may not be sent yet
+	wakeAt             float64                 // time for which the next iteration of the loop was scheduled
+	repliesOwed        int                     // arrivals without a reply
+	loggedExitDenial   permit.Denial           // what the exit waited for when that was last logged
 }
 
 const (
@@ -56,13 +61,14 @@
 // within it counts as due.
 const minSleep = time.Microsecond
 
-// Run processes events and starts rounds until the gateway has finished or stop is closed. In the latter case it first
-// applies the events that are already queued.
+// Run processes events and starts rounds until the process may exit or stop is closed. In the latter case it first applies the
+// events that are already queued.
 func (r *Runner) Run(stop <-chan struct{}) {
 	timer := time.NewTimer(0)
 	lastRound := math.Inf(-1)
 	r.wakeAt = r.Clock()
-	for !r.Gateway.Finished() {
+	defer r.reportEnd()
+	for !r.mayExit() {
 		select {
 		case <-stop:
 			r.drainEvents()
@@ -92,12 +98,28 @@
 	effects, wait := r.Gateway.PlaceDue(now)
 	r.effects = append(r.effects, effects...)
 	r.flush()
-	if len(r.deferred) > 0 {
+	if len(r.deferred) > 0 || len(r.pendingRefusals) > 0 {
 		wait = min(wait, diskRetryPause)
 	}
 	return min(wait, heartbeatInterval)
 }
 
+// mayExit reports whether the process may exit. It logs what it waits for once the time for that is over.
+func (r *Runner) mayExit() bool {
+	state := r.Gateway.ExitState()
+	state.RepliesOwed, state.RecordsOwed = r.repliesOwed, len(r.deferred)
+	denial := permit.Exit(state)
+	if state.ExitDue && denial != r.loggedExitDenial {
+		r.Log.Warn().Str("why", string(denial)).Int("replies", state.RepliesOwed).Int("records", state.RecordsOwed).
+			Msg("shutdown: the process cannot exit yet")
+		r.loggedExitDenial = denial
+	}
+	return denial == permit.Granted
+}
+
+// reportEnd tells the checker that the process ends.
+func (r *Runner) reportEnd() { r.Replies.Ended(len(r.deferred)) }
+
 // detectStall checks, after each sleep of the loop, whether the process was stalled, and pauses all pushes if so.
 func (r *Runner) detectStall() {
 	now := r.Clock()
@@ -145,5 +167,21 @@
 // step logs an event, applies it to the gateway and queues the effects.
 func (r *Runner) step(e Event) {
 	r.logEvent(e)
+	if arrived, ok := e.(Arrived); ok {
+		e = r.trackReply(arrived)
+	}
 	r.effects = append(r.effects, r.Gateway.Step(r.Clock(), e)...)
 }
+
+// trackReply counts an arrival as one that is owed a reply until that is given.
+func (r *Runner) trackReply(e Arrived) Arrived {
+	r.repliesOwed++
+	r.Replies.Arrived(e.Message.ID)
+	respond := e.Respond
+	e.Respond = func(reply Reply) {
+		r.repliesOwed--
+		r.Replies.Answered(e.Message.ID, reply.Accepted)
+		respond(reply)
+	}
+	return e
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "orchiddrift/push"
+import (
+	"orchiddrift/permit"
+	"orchiddrift/push"
+)
 
 // dial opens a connection with Dialer, or with the system's dialer if it is nil. The timeout is in seconds.
 func (r *Runner) dial(addr string, timeout float64) (*push.Conn, push.End) {
@@ -28,11 +31,10 @@
 // time left or its latest start has passed. This is wrong if the TTLs were set by a clock that differs from this one.
 func (r *Runner) send(c *Call) push.CallResult {
 	now := r.Clock()
-	remaining := c.Remaining(now)
-	if remaining < push.MinBudget || c.startBy < now {
+	if permit.StartCall(c.permitState(now)) != permit.Granted {
 		result := push.UniformResult(len(c.Messages), push.Withdrawn)
 		result.Reusable = true
 		return result
 	}
-	return c.Conn.Send(c.Messages, remaining)
+	return c.Conn.Send(c.Messages, c.Remaining(now))
 }
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"orchiddrift/ledger"
+	"orchiddrift/permit"
 	"orchiddrift/push"
 )
 
@@ -126,7 +127,8 @@
 	now := r.Clock()
 	r.Gateway.PausePushes(now + diskRetryPause)
 	r.deferred = slices.DeleteFunc(r.deferred, func(d deferredEffect) bool {
-		return d.deadline > 0 && d.deadline <= now && r.notifyDeferred(d)
+		isNotice := d.deadline > 0
+		return isNotice && permit.Notify(len(r.deferred), d.deadline-now) == permit.Granted && r.notifyDeferred(d)
 	})
 }
 
@@ -150,7 +152,7 @@
 	}
 	discarded, now := r.Ledger.DiscardFailedWrite(), r.Clock()
 	r.pendingRefusals = slices.DeleteFunc(r.pendingRefusals, func(refusal pendingRefusal) bool {
-		if !discarded && now < refusal.expiresAt {
+		if permit.Refuse(permit.Refusal{Now: now, ExpiresAt: refusal.expiresAt, Discarded: discarded}) != permit.Granted {
 			return false
 		}
 		r.Metrics.messageRefused(LedgerFailed)
@@ -174,6 +176,7 @@
 	switch e := e.(type) {
 	case Accept:
 		if result.allWritten {
+			r.Replies.Confirming(e.Message.ID)
 			e.Respond(Reply{Accepted: true})
 			r.Log.Debug().Str("ntf", e.Message.ID).Str("topic", e.Message.Topic).Str("dest", e.Message.Dest).
 				Str("key", e.Message.Key).Float64("left", e.Message.TimeLeft).Msg("message accepted")
@@ -205,7 +208,7 @@
 	case CloseConn:
 		e.Conn.Close()
 	case Notify:
-		if len(r.deferred) > 0 && e.RemainingTTL > 0 {
+		if permit.Notify(len(r.deferred), e.RemainingTTL) != permit.Granted {
 			r.deferred = append(r.deferred, deferredEffect{e, r.Clock() + e.RemainingTTL})
 		} else {
 			r.notify(e)
@@ -247,7 +250,7 @@
 // write writes records to the ledger and reports whether they were written. It does not try while earlier effects are
 // deferred, so that the order of the records is kept.
 func (r *Runner) write(records ...ledger.Record) bool {
-	return len(records) == 0 || len(r.deferred) == 0 && r.tryWrite(records)
+	return len(records) == 0 || permit.WriteRecord(len(r.deferred)) == permit.Granted && r.tryWrite(records)
 }
 
 // tryWrite writes records to the ledger and reports whether they were written. It logs slow and failed writes.
@@ -266,6 +269,13 @@
 	if err == nil && r.writeFailureLogged {
 		r.Log.Info().Msg("ledger writes succeed again")
 	}
-	r.writeFailureLogged = err != nil
-	return err == nil
+	if r.writeFailureLogged = err != nil; err != nil {
+		return false
+	}
+	for _, record := range records {
+		if record.Kind == ledger.Accepted {
+			r.Replies.Stored(record.ID)
+		}
+	}
+	return true
 }
--- a/invariant/invariant.go
+++ b/invariant/invariant.go
@@ -36,13 +36,21 @@
 	SentBeforeList Name = "sent_before_first_list"
 	// ClosedUnanswered is a client connection that the dispatcher closes although a request read from it has no response.
 	ClosedUnanswered Name = "closed_with_request_unanswered"
+	// AnsweredTwice is an answer to a request that has one already.
+	AnsweredTwice Name = "answered_twice"
+	// ConfirmedUnwritten is a confirmation of a message whose record is not in the ledger.
+	ConfirmedUnwritten Name = "confirmed_unwritten"
+	// EndedUnanswered is a process that ends although a request that it has read has no answer.
+	EndedUnanswered Name = "ended_with_request_unanswered"
+	// EndedUnwritten is a process that ends although records wait to be written.
+	EndedUnwritten Name = "ended_with_records_unwritten"
 	// ReadAfterClose is the reading of bytes from a client connection that is closed for reading.
 	ReadAfterClose Name = "read_after_close"
 )
 
 // All lists the invariants in the order of the metrics.
 var All = []Name{SentAfterFinal, SentWhileInFlight, SentOutsideWindow, SentToLeaving, SentDuringWait, SentOverRecovery,
-	SentOutOfOrder, SentBeforeList, ClosedUnanswered, ReadAfterClose}
+	SentOutOfOrder, SentBeforeList, ClosedUnanswered, ReadAfterClose, AnsweredTwice, ConfirmedUnwritten, EndedUnanswered, EndedUnwritten}
 
 // Counters counts and logs violations. The zero value counts them without logging; a nil Counters does neither. It is safe
 // for concurrent use once Log and Strict are set.
--- a/invariant/invariant_test.go
+++ b/invariant/invariant_test.go
@@ -96,6 +96,45 @@
 	}
 }
 
+// Each case violates one invariant on replies, and only that one must be counted; the first case violates none.
+func TestReplyChecker(t *testing.T) {
+	for _, c := range []struct {
+		name Name
+		do   func(c *ReplyChecker)
+	}{
+		{"", func(c *ReplyChecker) {
+			c.Arrived("m")
+			c.Stored("m")
+			c.Confirming("m")
+			c.Arrived("m") // once more, on another connection
+			c.Answered("m", true)
+			c.Answered("m", true)
+			c.Arrived("n")
+			c.Answered("n", false)
+			c.Ended(0)
+		}},
+		{AnsweredTwice, func(c *ReplyChecker) { c.Arrived("m"); c.Answered("m", false); c.Answered("m", true) }},
+		{ConfirmedUnwritten, func(c *ReplyChecker) { c.Arrived("m"); c.Confirming("m"); c.Answered("m", true) }},
+		{ConfirmedUnwritten, func(c *ReplyChecker) { c.Stored("m"); c.Arrived("m"); c.Confirming("m"); c.Answered("m", true) }},
+		{EndedUnanswered, func(c *ReplyChecker) { c.Arrived("m"); c.Ended(0) }},
+		{EndedUnwritten, func(c *ReplyChecker) { c.Ended(1) }},
+	} {
+		counters := &Counters{}
+		c.do(NewReplyChecker(counters))
+		for _, name := range All {
+			if n := counters.Count(name); (n > 0) != (name == c.name) {
+				t.Errorf("violation of %q: %s counted %d times", c.name, name, n)
+			}
+		}
+	}
+	var none *ReplyChecker
+	none.Arrived("m")
+	none.Stored("m")
+	none.Confirming("m")
+	none.Answered("m", true)
+	none.Ended(1)
+}
+
 // A strict Counters panics with the name of the invariant.
 func TestStrictPanics(t *testing.T) {
 	defer func() {
--- /dev/null
+++ b/permit/permit.go
@@ -0,0 +1,83 @@
+// Package permit decides whether something may be done now: whether a client's connection may be closed, a request handed on, a
+// call sent, a client answered, a record written, a notice sent, and the process ended. It is the only place for these decisions.
+// Callers pass what they observe, and act only if the answer is Granted. Package invariant checks what was done with accounts of
+// its own.
+package permit
+
+// Denial is the reason why something may not be done now.
+type Denial string
+
+// Granted means that it may be done.
+const Granted Denial = ""
+
+// Unread says whether bytes of a client stand in its socket.
+type Unread int
+
+// The values of Unread.
+const (
+	NoneUnread    Unread = iota // the socket was seen empty
+	SomeUnread                  // bytes have arrived
+	UnknownUnread               // the socket could not be looked at
+)
+
+// ClientConn is what is known of a client's connection.
+type ClientConn struct {
+	ReadClosed      bool // this side reads nothing any more
+	EvictedMidway   bool // it was closed for reading within a request
+	RequestStarted  bool // bytes of the current request were read
+	RequestComplete bool // the current request was read completely
+	Responded       bool // the current request was answered
+	Pipelined       bool // complete requests were read behind the current one
+	ClientGone      bool // the client has closed or reset the connection
+}
+
+// Reasons concerning connections.
+const (
+	AlreadyClosed     Denial = "already closed for reading"
+	RequestInProgress Denial = "a request is in progress"
+	RequestUnread     Denial = "bytes stand in the socket, or may"
+	RequestUnanswered Denial = "a request that was read has no answer"
+)
+
+// CloseIdle asks: has no byte of a request been read from the connection, or arrived on it, since the last answer?
+func CloseIdle(c ClientConn, unread func() Unread) Denial {
+	switch {
+	case c.ReadClosed:
+		return AlreadyClosed
+	case c.RequestStarted:
+		return RequestInProgress
+	case unread() != NoneUnread:
+		return RequestUnread
+	}
+	return Granted
+}
+
+// Evict asks: may the connection make room for another, because no whole request was read from it and none stands in its socket?
+// An incomplete request may be cut off.
+func Evict(c ClientConn, unread func() Unread) Denial {
+	switch {
+	case c.ReadClosed:
+		return AlreadyClosed
+	case c.RequestStarted && (c.RequestComplete || c.Responded):
+		return RequestInProgress
+	case unread() != NoneUnread:
+		return RequestUnread
+	}
+	return Granted
+}
+
+// End asks: has each request that was read from the connection its answer, or is the client gone?
+func End(c ClientConn) Denial {
+	if c.RequestComplete && !c.ClientGone && (!c.Responded || c.Pipelined) {
+		return RequestUnanswered
+	}
+	return Granted
+}
+
+// HandOn asks: will the client of a request that was read get the answer, so that the request may be passed to the gateway?
+func HandOn(c ClientConn) Denial {
+	if c.ReadClosed && !c.EvictedMidway {
+		return AlreadyClosed
+	}
+	return Granted
+}
