--- a/intake/client.go
+++ b/intake/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"orchiddrift/invariant"
+	"orchiddrift/permit"
 	"orchiddrift/sock"
 	"orchiddrift/syserr"
 )
@@ -133,9 +134,9 @@
 // socket, because they have just arrived or could not be read. It reports whether it did.
 func (c *clientConn) extendIdleDeadline() bool {
 	c.listener.lock.Lock()
-	idle := !c.readClosed && !c.requestStarted
+	denial := permit.CloseIdle(c.state(), c.unread)
 	c.listener.lock.Unlock()
-	if !idle || !c.hasUnreadBytes() {
+	if denial != permit.RequestUnread {
 		return false
 	}
 	return c.SetReadDeadline(time.Now().Add(ioTimeout)) == nil
@@ -250,7 +251,7 @@
 		return nil
 	}
 	c.closed = true
-	if c.requestComplete && c.reason != closedByClient && (!c.responded || c.hasPipelinedRequestsLocked()) {
+	if permit.End(c.state()) != permit.Granted {
 		l.invariants.Report(invariant.ClosedUnanswered, c.requestID, "%s", c.RemoteAddr())
 	}
 	discard := c.requestStarted && !c.requestComplete && !c.readClosed
@@ -287,10 +288,11 @@
 	}
 }
 
-// evictable reports whether the connection may be closed to make room: it has no request in progress, or only one that is not
-// read completely. The caller holds the lock.
-func (c *clientConn) evictable() bool {
-	return !c.readClosed && (!c.requestStarted || !c.requestComplete && !c.responded)
+// state returns what decides whether the connection may be closed. The caller holds the lock.
+func (c *clientConn) state() permit.ClientConn {
+	return permit.ClientConn{ReadClosed: c.readClosed, EvictedMidway: c.evictedDuringRequest, RequestStarted: c.requestStarted,
+		RequestComplete: c.requestComplete, Responded: c.responded, Pipelined: c.hasPipelinedRequestsLocked(),
+		ClientGone: c.reason == closedByClient}
 }
 
 // closeWrite shuts down the write side, if the connection supports that. The read side stays open.
@@ -309,7 +311,7 @@
 	c.listener.lock.Lock()
 	defer c.listener.lock.Unlock()
 	c.requestID = id
-	if c.readClosed && !c.evictedDuringRequest {
+	if permit.HandOn(c.state()) != permit.Granted {
 		c.listener.invariants.Report(invariant.ClosedUnanswered, id, "request read on a connection closed for reading: %s", c.reason)
 		return false, true
 	}
@@ -341,16 +343,22 @@
 	return !c.framer.failed && c.framer.completedRequests > c.handledRequests
 }
 
-// hasUnreadBytes reports whether bytes have arrived that were not read yet, or may have because the look at the socket failed.
-// Such a connection is not evicted: many connections may be accepted before the first of them is read, and the bytes may be a
-// complete request. The drawback is that a client that sends faster than the server reads cannot be evicted.
-func (c *clientConn) hasUnreadBytes() bool {
+// unread looks whether bytes have arrived that were not read yet. Such a connection is not evicted: many connections may be
+// accepted before the first of them is read, and the bytes may be a complete request. The drawback is that a client that sends
+// faster than the server reads cannot be evicted.
+func (c *clientConn) unread() permit.Unread {
 	n, err := c.peek()
-	if n > 0 || err == nil || errors.Is(err, syscall.EAGAIN) {
-		return n > 0
+	switch {
+	case n > 0:
+		return permit.SomeUnread
+	case err == nil || errors.Is(err, syscall.EAGAIN):
+		return permit.NoneUnread
 	}
 	c.listener.errors.Failed(syserr.ClientPeek, c.RemoteAddr().String(), err)
-	return syserr.ConnMayPass(err)
+	if syserr.ConnMayPass(err) {
+		return permit.UnknownUnread
+	}
+	return permit.NoneUnread
 }
 
 // peek returns 1 if bytes have arrived, else 0 and the error that a read would return. 0 without an error means the end of the
--- a/intake/clients.go
+++ b/intake/clients.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"orchiddrift/invariant"
+	"orchiddrift/permit"
 	"orchiddrift/sock"
 	"orchiddrift/syserr"
 )
@@ -122,12 +123,7 @@
 // interrupts reading, and the HTTP server closes the connection.
 func (l *limitListener) evictOne() bool {
 	l.lock.Lock()
-	var victim *clientConn
-	for candidate := range l.open {
-		if candidate.evictable() && (victim == nil || !candidate.servedBefore && victim.servedBefore || candidate.servedBefore == victim.servedBefore && candidate.lastActivity < victim.lastActivity) && !candidate.hasUnreadBytes() {
-			victim = candidate
-		}
-	}
+	victim := l.findEvictable()
 	if victim == nil {
 		l.lock.Unlock()
 		return false
@@ -145,6 +141,29 @@
 	return true
 }
 
+// findEvictable returns the connection to evict, or nil if none may be evicted. The caller holds the lock.
+func (l *limitListener) findEvictable() *clientConn {
+	var victim *clientConn
+	for candidate := range l.open {
+		if victim != nil && !candidate.evictBefore(victim) {
+			continue
+		}
+		if permit.Evict(candidate.state(), candidate.unread) == permit.Granted {
+			victim = candidate
+		}
+	}
+	return victim
+}
+
+// evictBefore reports whether c is to be evicted rather than other: one that never sent a complete request before one that did, else
+// the one that has been idle for longer. The caller holds the lock.
+func (c *clientConn) evictBefore(other *clientConn) bool {
+	if c.servedBefore != other.servedBefore {
+		return !c.servedBefore
+	}
+	return c.lastActivity < other.lastActivity
+}
+
 // closeIdle marks the listener as stopping, closes all connections that have no request in progress and no unread bytes, and
 // returns the number of connections that are left, including the lingering ones and those being closed. Those that are not
 // accepted yet count as one.
@@ -153,7 +172,7 @@
 	defer l.lock.Unlock()
 	l.stopping = true
 	for c := range l.open {
-		if !c.readClosed && !c.requestStarted && !c.hasUnreadBytes() {
+		if permit.CloseIdle(c.state(), c.unread) == permit.Granted {
 			c.markReadClosed(serverStopping)
 			c.closeWrite()
 			c.interruptRead()
--- a/intake/failing_calls_test.go
+++ b/intake/failing_calls_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"orchiddrift/invariant"
+	"orchiddrift/permit"
 	"orchiddrift/sock"
 )
 
@@ -54,7 +55,7 @@
 	}
 	fmt.Fprint(client, validRequest)
 	c := conn.(*clientConn)
-	waitFor(t, "the request stands in the socket", func() bool { return c.hasUnreadBytes() })
+	waitFor(t, "the request stands in the socket", func() bool { return c.unread() == permit.SomeUnread })
 	return c
 }
 
