Mend: an endpoint's answer lost, and a push held against it, as a call on its connection fails

Callers saw: a once-only message that was delivered given up, and messages handed back. Cause: each error of a read or write on an endpoint's connection counted as its end, the endpoint's fault. Now reads and writes are tried again until the call's time is over (sock.RetryingConn), and a write that fails on this machine until then ends as no socket, which is not held against the endpoint. Errors of dials come from the same table.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"math"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -23,6 +24,7 @@
 	"orchiddrift/invariant"
 	"orchiddrift/platform"
 	"orchiddrift/push"
+	"orchiddrift/sock"
 	"orchiddrift/syserr"
 )
 
@@ -89,7 +91,7 @@
 	runner := &gateway.Runner{Gateway: gateway.New(parts.scheduler, dir, state.ledger.HasRoom, parts.separateRoutes,
 		parts.batchSizes, parts.dialTimeout),
 		Ledger: state.ledger, Platform: agent, Clock: state.clock, Tick: parts.tick, Log: log, Events: make(chan gateway.Event, eventQueueSize),
-		WritePerEvent: cfg.Ledger.Sync == syncAlways, Dialer: push.Dialer(system.Dial), Metrics: gateway.NewMetrics()}
+		WritePerEvent: cfg.Ledger.Sync == syncAlways, Dialer: retryingDialer(system.Dial, systemErrors, syserr.Dial, syserr.EndpointRead, syserr.EndpointSend), Metrics: gateway.NewMetrics()}
 	invariants := &invariant.Counters{Log: log, Strict: system.PanicOnViolation}
 	runner.Replies = invariant.NewReplyChecker(invariants)
 	firstListBy := state.clock() + firstListTimeout.Seconds()
@@ -154,6 +156,20 @@
 	}
 }
 
+// retryingDialer returns a dialer whose connections try failed calls again, and that records failed dials and calls.
+func retryingDialer(dial func(string, time.Duration) (net.Conn, error), errs *syserr.Recorder, dialCall, readCall, writeCall syserr.Call) push.Dialer {
+	return func(address string, timeout time.Duration) (net.Conn, error) {
+		conn, err := dial(address, timeout)
+		if err != nil {
+			if syserr.Local(err) {
+				errs.Failed(dialCall, address, err)
+			}
+			return nil, err
+		}
+		return sock.NewRetryingConn(conn, errs, readCall, writeCall), nil
+	}
+}
+
 // ignoreStopped returns err, or nil if the start was interrupted by a stop signal.
 func ignoreStopped(err error) error {
 	if errors.Is(err, errStoppedDuringStartup) {
--- a/push/conn.go
+++ b/push/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"orchiddrift/syserr"
 )
 
 // statusOKLine matches the status line of a response with status 200.
@@ -93,18 +95,10 @@
 		writer: bufio.NewWriterSize(conn, 4<<10), recorder: recorder}, Delivered
 }
 
-// localErrors are the errors of socket(2) and connect(2) that are caused by this machine and not by the endpoint: no file
-// descriptor, memory, buffer or free port is left, there is no permission or no route to the network, or the call was
-// interrupted.
-var localErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN,
-	syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EINTR, syscall.EPERM, syscall.EACCES, syscall.EADDRINUSE}
-
 // endOfDialError returns the end of a push whose connection failed with the given error.
 func endOfDialError(err error) End {
-	for _, local := range localErrors {
-		if errors.Is(err, local) {
-			return NoSocket
-		}
+	if syserr.Local(err) {
+		return NoSocket
 	}
 	var timeout net.Error
 	if errors.As(err, &timeout) && timeout.Timeout() { // the dial timeout, or ETIMEDOUT from the system
@@ -174,10 +168,14 @@
 	if c.recorder != nil {
 		c.recorder.length = 0
 	}
-	if err := req.Write(c.writer); err != nil {
-		return WriteFailed, false
+	err := req.Write(c.writer)
+	if err == nil {
+		err = c.writer.Flush()
 	}
-	if err := c.writer.Flush(); err != nil {
+	switch {
+	case syserr.Local(err): // until the deadline
+		return NoSocket, false
+	case err != nil:
 		return WriteFailed, false
 	}
 	if err := c.awaitFirstByte(deadline); err != nil {
@@ -189,7 +187,7 @@
 		}
 		return ConnectionLost, false
 	}
-	err := c.readHead(resp, deadline)
+	err = c.readHead(resp, deadline)
 	for err == nil && resp.StatusCode() < fasthttp.StatusOK { // interim 1xx responses
 		if err = c.awaitFirstByte(deadline); err == nil {
 			err = c.readHead(resp, deadline)
