Mend: final answers late, or missing for seconds, while calls to the agent fail

Cause: a failed request waited 0.1 s, one without an answer 1 s, and each failed read or write ended its connection.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -87,7 +87,7 @@
 
 	systemErrors := syserr.NewRecorder(log)
 	agent := platform.NewAgent(cfg.Discovery, cfg.Known.Version, log)
-	agent.SetDialer(system.DialAgent)
+	agent.SetDialer(retryingDialer(system.DialAgent, systemErrors, syserr.AgentDial, syserr.AgentRead, syserr.AgentWrite))
 	runner := &gateway.Runner{Gateway: gateway.New(parts.scheduler, dir, state.ledger.HasRoom, parts.separateRoutes,
 		parts.batchSizes, parts.dialTimeout),
 		Ledger: state.ledger, Platform: agent, Clock: state.clock, Tick: parts.tick, Log: log, Events: make(chan gateway.Event, eventQueueSize),
