Mend: the clock follows the wall clock for life once a reading fails at the start

Callers would see: after a step of the wall clock of an hour, what is owed pushed an hour after its time, or given up at once. Cause: clock.Open went on by the wall clock if the boot's ID or the uptime could not be read once, and only an unreadable offset was tried again; the log then told of an offset saved though Save had nothing to save. Now such a start is retried like the folder, for 8 s, before it goes on by the wall clock with a warning, and Save reads the source anew. The list of errors that may pass comes from syserr.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -49,6 +49,10 @@
 // may be off by a step of the wall clock. The error may be transient, so opening the clock can be retried.
 var ErrOffsetUnreadable = errors.New("the clock's offset could not be read")
 
+// ErrSourceUnreadable is returned when the boot ID or the time since boot could not be read, without which the offset cannot be
+// used. A clock that starts nevertheless follows the wall clock. The error may be transient, so opening the clock can be retried.
+var ErrSourceUnreadable = errors.New("the time since boot could not be read")
+
 // FileName is the name of the file that holds the offset.
 const FileName = "clock"
 
@@ -57,21 +61,45 @@
 	baseSeconds float64 // the clock's time at startedAt, in Unix seconds
 	startedAt   time.Time
 	folder      disk.Folder
-	offsetLine  string // content for the offset file; empty if there is nothing to save
-	sync        bool   // flush the offset file to disk after writing it
+	source      Source
+	saved       bool // the folder holds the clock's offset
+	sync        bool // flush the offset file to disk after writing it
 }
 
 // Now returns the time in Unix seconds. It is based on the wall clock as it was when the first process since boot opened
 // the clock in this folder.
 func (c *Clock) Now() float64 { return c.baseSeconds + time.Since(c.startedAt).Seconds() }
 
-// Save writes the clock's offset from the time since boot to the folder. It does nothing if Open has read the offset from
-// the folder, or if the offset is unknown.
+// Save writes the clock's offset from the time since boot to the folder, unless the folder holds an offset of this boot. It
+// returns nil only if the folder then holds one.
 func (c *Clock) Save() error {
-	if c.offsetLine == "" {
+	if c.saved {
 		return nil
 	}
-	return writeOffsetFile(c.folder, c.offsetLine, c.sync)
+	bootID, uptime, err := c.source.read()
+	if err != nil {
+		return err
+	}
+	_, known, err := readOffset(c.folder, bootID)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrOffsetUnreadable, err)
+	}
+	if !known {
+		err = writeOffsetFile(c.folder, formatOffsetLine(bootID, c.Now()-uptime.Seconds()), c.sync)
+	}
+	c.saved = err == nil
+	return err
+}
+
+// read returns the boot ID and the time since boot.
+func (s Source) read() (bootID string, uptime time.Duration, err error) {
+	if bootID, err = s.BootID(); err == nil {
+		uptime, err = s.SinceBoot()
+	}
+	if err != nil {
+		return "", 0, fmt.Errorf("%w: %w", ErrSourceUnreadable, err)
+	}
+	return bootID, uptime, nil
 }
 
 // Open returns the clock of this process. It reads the offset from the time since boot that an earlier process stored in
@@ -79,12 +107,9 @@
 // returns both a working clock and an error: a step of the wall clock before the next process starts would then shift that
 // process's clock. Save can be called to retry a failed write. sync determines whether the offset file is flushed to disk.
 func Open(folder disk.Folder, source Source, sync bool) (*Clock, error) {
-	c := &Clock{startedAt: time.Now(), baseSeconds: float64(source.Wall().UnixNano()) / float64(time.Second), folder: folder, sync: sync}
-	bootID, err := source.BootID()
-	if err != nil {
-		return c, err
-	}
-	uptime, err := source.SinceBoot()
+	c := &Clock{startedAt: time.Now(), baseSeconds: float64(source.Wall().UnixNano()) / float64(time.Second), folder: folder, source: source,
+		sync: sync}
+	bootID, uptime, err := source.read()
 	if err != nil {
 		return c, err
 	}
@@ -93,10 +118,9 @@
 		return c, fmt.Errorf("%w: %w", ErrOffsetUnreadable, err)
 	}
 	if known {
-		c.baseSeconds = offset + uptime.Seconds()
+		c.baseSeconds, c.saved = offset+uptime.Seconds(), true
 		return c, nil
 	}
-	c.offsetLine = formatOffsetLine(bootID, c.baseSeconds-uptime.Seconds())
 	return c, c.Save()
 }
 
--- a/dispatcher/clock_test.go
+++ b/dispatcher/clock_test.go
@@ -39,7 +39,7 @@
 		open := func() float64 {
 			startup := &startupSequence{log: zerolog.Nop(), startedAt: time.Now()}
 			var state *persistentState
-			if err := startup.retry("folder", func() (err error) { state, err = openState(system, cfg, zerolog.Nop()); return err }); err != nil {
+			if err := startup.retry("folder", func() (err error) { state, err = openState(system, cfg, zerolog.Nop(), false); return err }); err != nil {
 				t.Fatal(err)
 			}
 			defer state.folder.Close()
@@ -53,3 +53,26 @@
 		}
 	}
 }
+
+// Guards against a start that never ends because the time since boot cannot be read for good, and against a log that tells of an
+// offset that was not saved.
+func TestClockWithoutSource(t *testing.T) {
+	cfg := &config{stateDir: t.TempDir(), Limits: limits{DiskMB: 3}}
+	system := HostSystem(func(string) string { return "" })
+	system.ClockSource.BootID = func() (string, error) { return "", syscall.EIO }
+	if _, err := openState(system, cfg, zerolog.Nop(), false); !isTransient(err) {
+		t.Errorf("%v, want an error that is retried", err)
+	}
+	state, err := openState(system, cfg, zerolog.Nop(), true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer state.folder.Close()
+	if now := float64(time.Now().Unix()); state.clock() < now-1 || state.clock() > now+2 {
+		t.Errorf("the clock is at %.0f, the wall clock at %.0f", state.clock(), now)
+	}
+	c, err := clock.Open(state.folder, system.ClockSource, false)
+	if err == nil || c.Save() == nil {
+		t.Error("an offset that cannot be computed counts as saved")
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -80,7 +80,11 @@
 	startup.enableLog(log)
 	dir.Replace(cfg.Known.Endpoints())
 	var state *persistentState
-	if err := startup.retry("folder", func() (err error) { state, err = openState(system, cfg, log); return err }); err != nil {
+	err = startup.retry("folder", func() (err error) {
+		state, err = openState(system, cfg, log, time.Since(startup.startedAt) > clockRetryTimeout)
+		return err
+	})
+	if err != nil {
 		return ignoreStopped(err)
 	}
 	defer state.folder.Close()
--- a/dispatcher/start.go
+++ b/dispatcher/start.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -12,6 +11,7 @@
 	"orchiddrift/clock"
 	"orchiddrift/disk"
 	"orchiddrift/ledger"
+	"orchiddrift/syserr"
 )
 
 // A startup step that fails with a transient error is retried every startupRetryInterval until startupRetryTimeout after
@@ -24,12 +24,6 @@
 // errStoppedDuringStartup is returned when SIGTERM or SIGINT arrives before the start is complete.
 var errStoppedDuringStartup = errors.New("stopped by a signal before the start was complete")
 
-// transientErrors are errors that a retry may resolve: exhausted resources that others may free, temporary failures of
-// disks and folders, and addresses and locks that a previous process is about to release.
-var transientErrors = []error{syscall.EIO, syscall.ENOSPC, syscall.EDQUOT, syscall.EMFILE, syscall.ENFILE, syscall.ENOMEM, syscall.ENOBUFS,
-	syscall.EAGAIN, syscall.EINTR, syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.ENETDOWN, syscall.ENETUNREACH,
-	syscall.EBUSY, syscall.ETIMEDOUT, syscall.ESTALE, disk.ErrLocked}
-
 // startupSequence runs and logs the steps of a start. It is not safe for concurrent use.
 type startupSequence struct {
 	stopSignals   <-chan os.Signal
@@ -87,15 +81,9 @@
 	}
 }
 
-// isTransient reports whether a retry may resolve err.
-func isTransient(err error) bool {
-	for _, transient := range transientErrors {
-		if errors.Is(err, transient) {
-			return true
-		}
-	}
-	return false
-}
+// isTransient reports whether a retry may resolve err: an error of the system that may pass, or a lock that a previous process is
+// about to release.
+func isTransient(err error) bool { return syserr.StepMayPass(err) || errors.Is(err, disk.ErrLocked) }
 
 // persistentState is the state that the dispatcher keeps in the folder that outlives the process.
 type persistentState struct {
@@ -107,8 +95,9 @@
 }
 
 // openState opens the folder, the ledger and the clock, and logs damaged ledger records. If the clock's offset cannot be
-// saved, it is saved in the background once that is possible.
-func openState(system System, cfg *config, log zerolog.Logger) (*persistentState, error) {
+// saved, it is saved in the background once that is possible. If the time since boot cannot be read just now, the start is retried,
+// unless wallClock says to go on by the wall clock.
+func openState(system System, cfg *config, log zerolog.Logger, wallClock bool) (*persistentState, error) {
 	state := &persistentState{}
 	var err error
 	if state.folder, err = system.OpenFolder(cfg.stateDir); err != nil {
@@ -124,7 +113,7 @@
 		log.Error().Str("file", damaged.File).Int("at", damaged.Offset).Int("bytes", damaged.Bytes).Msg("ledger damaged: pushes of notifications owed from before may have run")
 	}
 	processClock, err := clock.Open(state.folder, system.ClockSource, sync)
-	if errors.Is(err, clock.ErrOffsetUnreadable) {
+	if errors.Is(err, clock.ErrOffsetUnreadable) || errors.Is(err, clock.ErrSourceUnreadable) && isTransient(err) && !wallClock {
 		return nil, errors.Join(err, state.ledger.Close(), state.folder.Close())
 	}
 	if err != nil {
@@ -135,6 +124,10 @@
 	return state, nil
 }
 
+// clockRetryTimeout is the time since the start after which a dispatcher goes on by the wall clock if the time since boot cannot be
+// read. Nine in ten dispatchers have to be ready within 10 s.
+const clockRetryTimeout = 8 * time.Second
+
 // clockSaveInterval is the time between two attempts to save the clock's offset.
 const clockSaveInterval = 200 * time.Millisecond
 
