Mend: a descriptor leaks with each new segment file whose sync fails

Cause: seglog.Reserve returned without closing the file. Now the file is closed and removed, as after a failed write. Left behind it would use up the descriptors that clients' connections need.

--- a/disk/faulty/faulty.go
+++ b/disk/faulty/faulty.go
@@ -32,6 +32,7 @@
 	Writes                 int                     // number of writes and removes so far
 	LongestWrite           int                     // size of the longest write, in bytes
 	WrittenBytes           int                     // total size of all writes, in bytes
+	OpenFiles              int                     // number of files that were opened or created, and not closed
 	files                  map[string]*fileContent // by name
 	crashed                bool                    // the process has crashed: later operations return ErrCrashed
 }
@@ -98,6 +99,7 @@
 	}
 	content := &fileContent{}
 	f.files[name] = content
+	f.OpenFiles++
 	return &file{f, name, content}, nil
 }
 
@@ -107,6 +109,7 @@
 	if content == nil {
 		return nil, fmt.Errorf("%s: %w", name, fs.ErrNotExist)
 	}
+	f.OpenFiles++
 	return &file{f, name, content}, f.checkCrashed()
 }
 
@@ -178,8 +181,11 @@
 // Size returns the size of the file in bytes.
 func (f *file) Size() (int64, error) { return int64(len(f.data)), f.folder.checkCrashed() }
 
-// Close does nothing. The file can still be used afterwards.
-func (f *file) Close() error { return nil }
+// Close only counts. The file can still be used afterwards.
+func (f *file) Close() error {
+	f.folder.OpenFiles--
+	return nil
+}
 
 // Sync counts the call and returns SyncErr if set. It never has to flush anything.
 func (f *file) Sync() error {
--- a/ledger/failed_write_test.go
+++ b/ledger/failed_write_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"syscall"
 	"testing"
 
 	"orchiddrift/disk/faulty"
@@ -113,3 +114,25 @@
 		}
 	}
 }
+
+// Guards against a descriptor that leaks with each new file whose sync fails.
+func TestFailedSyncLeavesNoFileOpen(t *testing.T) {
+	folder := faulty.New()
+	l, _, _, err := ledger.Open(folder, ledger.Options{LimitBytes: failedWriteLimit, Sync: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Write(accepted("n0", 10)); err != nil {
+		t.Fatal(err)
+	}
+	before := folder.OpenFiles
+	folder.SyncErr = syscall.EIO
+	for range 200 { // a failed allocation is tried again after some writes
+		if l.Write(accepted("n1", 10)) == nil {
+			t.Fatal("written although syncs fail")
+		}
+	}
+	if names, _ := folder.List(); folder.OpenFiles > before || len(names) > before {
+		t.Errorf("%d files open, %d before; %d in the folder", folder.OpenFiles, before, len(names))
+	}
+}
--- a/seglog/seglog.go
+++ b/seglog/seglog.go
@@ -415,7 +415,8 @@
 		}
 		if l.sync {
 			if err := errors.Join(f.Sync(), l.folder.Sync()); err != nil {
-				return err
+				l.removeFile(&segment{name: name, file: f})
+				return fmt.Errorf("%s: %w", name, err)
 			}
 		}
 		l.lastFileNumber++
