Mend: a new configuration is given up, without a word, if it cannot be read for 3 s

Callers would see: notices and lists from an agent that has moved, until the next SIGHUP. Cause: any error ended the reload after 3 s, and nothing said so. Evidence: TestReloadWhileCallsFail, reads that fail for 3.5 s: the new agent was not asked. Now an error that may pass is tried again until the configuration can be read or the next SIGHUP comes; an invalid configuration is given up after 3 s as before, with a line. Failed writes of the ledger and reads of the configuration are counted with the other system calls.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -97,6 +97,7 @@
 		Ledger: state.ledger, Platform: agent, Clock: state.clock, Tick: parts.tick, Log: log, Events: make(chan gateway.Event, eventQueueSize),
 		WritePerEvent: cfg.Ledger.Sync == syncAlways, Dialer: retryingDialer(system.Dial, systemErrors, syserr.Dial, syserr.EndpointRead, syserr.EndpointSend), Metrics: gateway.NewMetrics()}
 	invariants := &invariant.Counters{Log: log, Strict: system.PanicOnViolation}
+	runner.Errors = systemErrors
 	runner.Replies = invariant.NewReplyChecker(invariants)
 	firstListBy := state.clock() + firstListTimeout.Seconds()
 	runner.Gateway.SetSendChecker(invariant.NewSendChecker(invariants,
@@ -109,7 +110,7 @@
 	if !cfg.values.ListOnDemand() {
 		agent.WatchForever(runner.Post)
 	}
-	go watchReloads(reloadSignals, system, cfg, agent, log)
+	go watchReloads(reloadSignals, system, cfg, agent, systemErrors, log)
 	ln, err := system.Listen(cfg.Listen)
 	if err != nil && !isTransient(err) {
 		return err
@@ -199,8 +200,9 @@
 	stopLoop()
 }
 
-// After a SIGHUP, a configuration that cannot be read or is invalid, such as an incomplete file, is read again every
-// reloadRetryInterval until reloadRetryTimeout has passed or the next SIGHUP arrives.
+// After a SIGHUP, a configuration that is invalid, such as an incomplete file, is read again every reloadRetryInterval until
+// reloadRetryTimeout has passed or the next SIGHUP arrives. One that cannot be read for an error that may pass is read again until
+// the next SIGHUP, or it can be read.
 const (
 	reloadRetryTimeout  = 3 * time.Second
 	reloadRetryInterval = 100 * time.Millisecond
@@ -208,17 +210,23 @@
 
 // watchReloads reloads the configuration on each SIGHUP. An invalid configuration changes nothing. initial is the
 // configuration at the start.
-func watchReloads(signals <-chan os.Signal, system System, initial *config, agent *platform.Agent, log zerolog.Logger) {
+func watchReloads(signals <-chan os.Signal, system System, initial *config, agent *platform.Agent, errs *syserr.Recorder, log zerolog.Logger) {
 	for range signals {
 		startedAt := time.Now()
 		err := reload(system, initial, agent, log)
 		if err != nil {
 			log.Error().Err(err).Dur("again_for", reloadRetryTimeout).Msg("configuration not reloaded; keeping the current one")
 		}
-		for err != nil && time.Since(startedAt) < reloadRetryTimeout && len(signals) == 0 {
+		for err != nil && len(signals) == 0 && (isTransient(err) || time.Since(startedAt) < reloadRetryTimeout) {
+			if isTransient(err) {
+				errs.Failed(syserr.ConfigRead, initial.Name, err)
+			}
 			time.Sleep(reloadRetryInterval)
 			err = reload(system, initial, agent, log)
 		}
+		if err != nil {
+			log.Error().Err(err).Float64("after", time.Since(startedAt).Seconds()).Msg("configuration given up until the next SIGHUP")
+		}
 	}
 }
 
--- a/dispatcher/failing_calls_test.go
+++ b/dispatcher/failing_calls_test.go
@@ -476,10 +476,16 @@
 	report(t, cases)
 }
 
+// reloadTime is the time after SIGHUP at which the new configuration has to be in use.
+const reloadTime = 4500 * time.Millisecond
+
 // Guards against a new configuration that is not taken on because a call fails for a moment: the dispatcher asks the new agent.
 func TestReloadWhileCallsFail(t *testing.T) {
 	w := newWorld(t)
 	cases := newCases(t, w, callConfigRead, callAgentDial, callAgentRead, callAgentWrite)
+	long := newCases(t, w, callConfigRead)[0]
+	long.name, long.duration = "configuration read fails for longer than an invalid one is read again", reloadTime-time.Second
+	cases = append(cases, long)
 	each(cases, (*callCase).start)
 	moved := make([]chan bool, len(cases))
 	for i, c := range cases {
@@ -506,7 +512,7 @@
 	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(2500 * time.Millisecond)
+	time.Sleep(reloadTime)
 	for i, c := range cases {
 		if len(moved[i]) == 0 {
 			c.problem("the new agent was not asked")
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -10,6 +10,7 @@
 	"orchiddrift/ledger"
 	"orchiddrift/permit"
 	"orchiddrift/push"
+	"orchiddrift/syserr"
 )
 
 // Platform is the source of the endpoint list and the recipient of notices. Its methods return at once and pass the events
@@ -34,6 +35,7 @@
 	WritePerEvent      bool                    // write, and sync, the records of each event separately
 	Metrics            *Metrics                // may be nil
 	Replies            *invariant.ReplyChecker // may be nil
+	Errors             *syserr.Recorder        // may be nil
 	listFailureLogged  bool                    // the last watch or fetch of the list failed, and that has been logged
 	effects            []Effect                // not carried out yet
 	writeFailureLogged bool                    // the last write failed, and that has been logged
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -6,6 +6,7 @@
 	"orchiddrift/ledger"
 	"orchiddrift/permit"
 	"orchiddrift/push"
+	"orchiddrift/syserr"
 )
 
 const (
@@ -262,6 +263,7 @@
 	}
 	if err != nil {
 		r.Metrics.ledgerWriteFailed()
+		r.Errors.Failed(syserr.LedgerWrite, records[0].ID, err)
 	}
 	if err != nil && !r.writeFailureLogged {
 		r.Log.Error().Err(err).Msg("ledger write failed")
--- a/syserr/recorder.go
+++ b/syserr/recorder.go
@@ -29,7 +29,6 @@
 	AgentRead    Call = "agent read"
 	AgentWrite   Call = "agent write"
 	LedgerWrite  Call = "ledger write"
-	ClockRead    Call = "clock read"
 	ConfigRead   Call = "configuration read"
 )
 
