Mend: accepts that fail cut off requests on their way; silent clients stay for over 3 s

Now a failed accept closes only connections silent for 0.4 s, after which no client waits; at the limit of connections those go first. TestEvictionOnDescriptorShortage waits 0.4 s before its shortage for that reason, and asks the same. Two faults in one commit, as they share the lines.

--- a/intake/client.go
+++ b/intake/client.go
@@ -49,12 +49,14 @@
 	lastActivity         int         // limitListener.activityCount at the accept or the last response
 	requestID            string      // of the last request that was read completely
 	framer               framer
-	handledRequests      int // number of requests passed to the handler
+	handledRequests      int           // number of requests passed to the handler
+	heardAt              time.Time     // when it was accepted, or bytes were last read or written
+	queuedFor            time.Duration // how long the connection may have waited to be accepted while accepts failed
 }
 
 // newClientConn returns the connection of a client that was accepted by a listener.
 func newClientConn(listener *limitListener, conn net.Conn) *clientConn {
-	c := &clientConn{Conn: conn, listener: listener, calls: sock.HostCalls{}}
+	c := &clientConn{Conn: conn, listener: listener, calls: sock.HostCalls{}, heardAt: time.Now()}
 	if s, ok := conn.(interface{ Calls() sock.Calls }); ok {
 		c.calls = s.Calls()
 	}
@@ -130,8 +132,8 @@
 	return pause.Wait()
 }
 
-// extendIdleDeadline allows the time of a request once more if the idle time-out has passed over bytes that are still in the
-// socket, because they have just arrived or could not be read. It reports whether it did.
+// extendIdleDeadline allows some more time if the idle time-out has passed over bytes that are still in the socket, because they
+// have just arrived or could not be read. It reports whether it did.
 func (c *clientConn) extendIdleDeadline() bool {
 	c.listener.lock.Lock()
 	denial := permit.CloseIdle(c.state(), c.unread)
@@ -139,9 +141,12 @@
 	if denial != permit.RequestUnread {
 		return false
 	}
-	return c.SetReadDeadline(time.Now().Add(ioTimeout)) == nil
+	return c.SetReadDeadline(time.Now().Add(clientPatience)) == nil
 }
 
+// clientPatience is how long clients wait for an answer, as specified by the platform.
+const clientPatience = 400 * time.Millisecond
+
 // acceptBytes records bytes that were read and returns how many of them may be used. If the connection is closed for reading,
 // it returns 0 and reports an invariant violation if there are any.
 func (c *clientConn) acceptBytes(b []byte) int {
@@ -172,7 +177,7 @@
 // recordBytes records bytes of a request that were read. The caller holds the lock.
 func (c *clientConn) recordBytes(b []byte) {
 	if len(b) > 0 {
-		c.requestStarted, c.responded = true, false
+		c.requestStarted, c.responded, c.heardAt = true, false, time.Now()
 		c.framer.feed(b)
 	}
 }
@@ -194,7 +199,7 @@
 	defer c.listener.lock.Unlock()
 	switch {
 	case err == nil:
-		c.responded = true
+		c.responded, c.heardAt = true, time.Now()
 	case syserr.ConnMayPass(err):
 		c.setReason(responseUnwritten)
 	default: // the client is gone, or does not take its response
@@ -230,17 +235,24 @@
 	}
 }
 
-// SetReadDeadline sets the read deadline. It has no effect once the connection is closed for reading, since a read must not
-// wait then.
+// SetReadDeadline sets the read deadline, less the time that the connection waited to be accepted: a client that sends nothing has
+// to see the end of its connection in time. It has no effect once the connection is closed for reading, since a read must not wait
+// then.
 func (c *clientConn) SetReadDeadline(t time.Time) error {
 	c.listener.lock.Lock()
 	defer c.listener.lock.Unlock()
 	if c.readClosed {
 		return nil
 	}
+	if isFirstRequest := !c.servedBefore; isFirstRequest && !t.IsZero() {
+		t = t.Add(-min(c.queuedFor, ioTimeout-minRequestTime))
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// minRequestTime is the time that a client has for its first request, however long its connection waited to be accepted.
+const minRequestTime = 500 * time.Millisecond
+
 // Close is called by the HTTP server when it is done with the connection. It shuts down the write side and lets the connection
 // linger. It closes the connection at once if it was evicted with an incomplete request, or if too many connections linger.
 func (c *clientConn) Close() error {
@@ -269,8 +281,8 @@
 	if !linger {
 		return c.Conn.Close()
 	}
-	c.closeWrite()
-	go l.linger(c, discard)
+	shutdownAgain := c.closeWrite()
+	go l.linger(c, discard, shutdownAgain)
 	return nil
 }
 
@@ -292,14 +304,21 @@
 func (c *clientConn) state() permit.ClientConn {
 	return permit.ClientConn{ReadClosed: c.readClosed, EvictedMidway: c.evictedDuringRequest, RequestStarted: c.requestStarted,
 		RequestComplete: c.requestComplete, Responded: c.responded, Pipelined: c.hasPipelinedRequestsLocked(),
-		ClientGone: c.reason == closedByClient}
+		ClientGone: c.reason == closedByClient, SilentFor: time.Since(c.heardAt)}
 }
 
-// closeWrite shuts down the write side, if the connection supports that. The read side stays open.
-func (c *clientConn) closeWrite() {
-	if halfCloser, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = halfCloser.CloseWrite()
+// closeWrite shuts down the write side, if the connection supports that. The read side stays open. It reports whether that is to be
+// tried again.
+func (c *clientConn) closeWrite() (again bool) {
+	halfCloser, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return false
+	}
+	err := halfCloser.CloseWrite()
+	if again = syserr.ConnMayPass(err); again {
+		c.listener.errors.Failed(syserr.ClientShutdown, c.RemoteAddr().String(), err)
 	}
+	return again
 }
 
 // interruptRead makes a pending read return, by setting a read deadline in the past.
--- a/intake/clients.go
+++ b/intake/clients.go
@@ -45,6 +45,8 @@
 	activityCount    int                  // number of accepted connections and responses; source of clientConn.lastActivity
 	stopping         bool                 // the server is stopping: any number of connections may linger
 	accepting        bool                 // connections that are set up may still have to be accepted
+	delayedFrom      time.Time            // start of the last time without accepts, because they failed; only Accept uses it
+	delayedUntil     time.Time            // end of that time
 }
 
 // Accept waits for the next connection. It returns an error only if the listener is closed: it retries after the failure of
@@ -58,11 +60,16 @@
 		}
 		if err != nil {
 			failures++
+			l.noteDelay(time.Now())
 			l.handleAcceptError(err, failures)
 			continue
 		}
 		failures = 0
 		c := newClientConn(l, conn)
+		if accepted, ok := conn.(interface{ AcceptedAt() time.Time }); ok && time.Since(accepted.AcceptedAt()) > delayMemory {
+			l.noteDelay(accepted.AcceptedAt())
+		}
+		c.queuedFor = l.acceptDelay()
 		if l.admit(c) {
 			return c, nil
 		}
@@ -71,6 +78,25 @@
 	}
 }
 
+// delayMemory is how long after a failed accept the connections that are accepted then may have waited for it.
+const delayMemory = 50 * time.Millisecond
+
+// noteDelay records that connections could not be accepted from a time on until now.
+func (l *limitListener) noteDelay(from time.Time) {
+	if time.Since(l.delayedUntil) > delayMemory {
+		l.delayedFrom = from
+	}
+	l.delayedUntil = time.Now()
+}
+
+// acceptDelay returns how long a connection that is accepted now may have waited because accepts failed.
+func (l *limitListener) acceptDelay() time.Duration {
+	if time.Since(l.delayedUntil) > delayMemory {
+		return 0
+	}
+	return time.Since(l.delayedFrom)
+}
+
 // endAccepting closes the listening socket once no connection is pending on it.
 func (l *limitListener) endAccepting() {
 	_ = l.Listener.Close()
@@ -92,14 +118,14 @@
 	return drainer.Drain()
 }
 
-// handleAcceptError records the error of an accept, pauses, and closes a connection if resources are used up. The pause lets the
-// first request arrive on connections that were accepted just before. failures counts the accepts that failed in a row: if closing
-// connections does not help, they are closed at longer and longer intervals.
+// handleAcceptError records the error of an accept, pauses, and closes a connection if resources are used up: one on which no client
+// can still wait for an answer. failures counts the accepts that failed in a row: if closing connections does not help, they are
+// closed at longer and longer intervals.
 func (l *limitListener) handleAcceptError(err error, failures int) {
 	l.errors.Failed(syserr.Accept, "", err)
 	time.Sleep(retryDelay)
 	if isPowerOfTwo := failures&(failures-1) == 0; isPowerOfTwo && syserr.OutOfResources(err) {
-		l.evictOne()
+		l.evictOne(clientPatience)
 	}
 }
 
@@ -108,7 +134,7 @@
 	l.lock.Lock()
 	full := len(l.open) >= l.maxConns
 	l.lock.Unlock()
-	if full && !l.evictOne() {
+	if full && !l.evictOne(clientPatience) && !l.evictOne(0) {
 		return false
 	}
 	l.lock.Lock()
@@ -119,11 +145,11 @@
 	return true
 }
 
-// evictOne closes one evictable connection and reports whether there was any. If bytes of a request were read from it, it only
-// interrupts reading, and the HTTP server closes the connection.
-func (l *limitListener) evictOne() bool {
+// evictOne closes one evictable connection that has been silent for minSilence, and reports whether there was any. If bytes of a
+// request were read from it, it only interrupts reading, and the HTTP server closes the connection.
+func (l *limitListener) evictOne(minSilence time.Duration) bool {
 	l.lock.Lock()
-	victim := l.findEvictable()
+	victim := l.findEvictable(minSilence)
 	if victim == nil {
 		l.lock.Unlock()
 		return false
@@ -142,13 +168,13 @@
 }
 
 // findEvictable returns the connection to evict, or nil if none may be evicted. The caller holds the lock.
-func (l *limitListener) findEvictable() *clientConn {
+func (l *limitListener) findEvictable(minSilence time.Duration) *clientConn {
 	var victim *clientConn
 	for candidate := range l.open {
 		if victim != nil && !candidate.evictBefore(victim) {
 			continue
 		}
-		if permit.Evict(candidate.state(), candidate.unread) == permit.Granted {
+		if permit.Evict(candidate.state(), minSilence, candidate.unread) == permit.Granted {
 			victim = candidate
 		}
 	}
@@ -204,8 +230,12 @@
 // Closing a socket that holds unread bytes resets the connection, which can destroy a response on its way. After an answered
 // request nothing more is read: the client can see that later requests were not processed and send them elsewhere. With
 // discard, the rest of a request that could not be parsed is read and dropped, since that request was already answered.
-func (l *limitListener) linger(c *clientConn, discard bool) {
+// With shutdownAgain, shutting down the write side failed and is tried again.
+func (l *limitListener) linger(c *clientConn, discard, shutdownAgain bool) {
 	for pause := syserr.NewBackoff(lingerTimeout); pause.Wait(); {
+		if shutdownAgain {
+			shutdownAgain = c.closeWrite()
+		}
 		if c.peerClosed(discard) {
 			break
 		}
--- a/intake/closing_test.go
+++ b/intake/closing_test.go
@@ -101,7 +101,7 @@
 // A request whose bytes are read just as its connection is evicted, or closed by a planned stop, must be answered. If it were
 // read and the connection closed without a response, the request would be lost unless its client sends it elsewhere.
 func readRequestIsAnswered(t *testing.T) {
-	for name, interfere := range map[string]func(*testServer){"eviction": func(ts *testServer) { ts.listener.evictOne() },
+	for name, interfere := range map[string]func(*testServer){"eviction": func(ts *testServer) { ts.listener.evictOne(0) },
 		"planned stop": func(ts *testServer) { go func() { _ = ts.Server.Close() }(); time.Sleep(150 * time.Millisecond) }} {
 		ts := newTestServer(t)
 		ts.httpServer.ConnState = func(conn net.Conn, s fasthttp.ConnState) {
@@ -276,6 +276,7 @@
 	if _, err := ts.listener.Accept(); err != nil {
 		t.Fatal(err)
 	}
+	time.Sleep(clientPatience) // a request of a client that still waits would have come by then
 	l.failures.Store(1)
 	ts.dial(t)
 	if _, err := ts.listener.Accept(); err != nil {
--- a/intake/failing_calls_test.go
+++ b/intake/failing_calls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -20,7 +21,15 @@
 // failingCalls are socket calls of which some fail on demand, with ENOMEM.
 type failingCalls struct {
 	sock.HostCalls
-	peek atomic.Bool
+	peek      atomic.Bool
+	shutdowns atomic.Int32 // the next shutdowns that fail
+}
+
+func (c *failingCalls) ShutdownWrite(fd int) error {
+	if c.shutdowns.Add(-1) >= 0 {
+		return syscall.ENOBUFS
+	}
+	return c.HostCalls.ShutdownWrite(fd)
 }
 
 func (c *failingCalls) Peek(fd int) (int, error) {
@@ -66,7 +75,7 @@
 	l := listenWith(t, calls)
 	c := acceptWithRequest(t, l)
 	calls.peek.Store(true)
-	if l.evictOne() || l.closeIdle() != 1 || c.readClosed {
+	if l.evictOne(0) || l.closeIdle() != 1 || c.readClosed {
 		t.Error("the connection was closed over a request")
 	}
 	if c.peerClosed(false) {
@@ -128,3 +137,74 @@
 		t.Errorf("%d violations counted, want 1", n)
 	}
 }
+
+// Guards against cutting off a request that is still on its way because an accept fails for lack of resources: the connection has
+// only just been accepted, or the first bytes have come.
+func TestAcceptFailureSparesYoungConnections(t *testing.T) {
+	ts := newTestServer(t)
+	l := &failingListener{Listener: ts.Listener, err: syscall.EMFILE}
+	go func() { _ = ts.Server.Serve(l) }()
+	conns := []net.Conn{ts.dial(t), ts.dial(t)}
+	fmt.Fprint(conns[1], validRequest[:40])
+	waitFor(t, "both connections are accepted", func() bool { open, _ := ts.connCounts(); return open == 2 })
+	l.failures.Store(12)
+	ts.dial(t) // ends a waiting accept; the ones after it fail
+	time.Sleep(150 * time.Millisecond)
+	for i, rest := range []string{validRequest, validRequest[40:]} {
+		fmt.Fprint(conns[i], rest)
+		if resp := readResponse(t, conns[i]); resp.StatusCode != http.StatusAccepted {
+			t.Errorf("connection %d: %d", i, resp.StatusCode)
+		}
+	}
+	if l.failures.Load() >= 0 {
+		t.Error("no accept failed")
+	}
+}
+
+// Guards against clients that send nothing and stay connected for more than 3 s, because accepts fail for a second before, or because
+// looks at their sockets, or the shutdown of their connections, fail.
+func TestSilentClientsWhileCallsFail(t *testing.T) {
+	const silentLimit = 3 * time.Second
+	accepts := newTestServer(t)
+	l := &failingListener{Listener: accepts.Listener, err: syscall.ENOBUFS}
+	l.failures.Store(int32(time.Second / retryDelay))
+	go func() { _ = accepts.Server.Serve(l) }()
+	calls := &failingCalls{}
+	calls.peek.Store(true)
+	calls.shutdowns.Store(3)
+	looks := newTestServer(t)
+	ln, err := sock.Listen("127.0.0.1:0", calls)
+	if err != nil {
+		t.Fatal(err)
+	}
+	looks.Listener = ln
+	looks.serve()
+	start := time.Now()
+	for name, conn := range map[string]net.Conn{"accepts": accepts.dial(t), "looks and shutdowns": looks.dial(t)} {
+		_ = conn.SetDeadline(start.Add(5 * time.Second))
+		_, err := conn.Read(make([]byte, 1))
+		if took := time.Since(start); err != io.EOF || took > silentLimit {
+			t.Errorf("%s fail: the connection ended after %v with %v", name, took, err)
+		}
+	}
+}
+
+// Guards against an end of the connection that its client sees half a second late because a shutdown failed once.
+func TestShutdownTriedAgain(t *testing.T) {
+	calls := &failingCalls{}
+	calls.shutdowns.Store(2)
+	ts := newTestServer(t)
+	ln, err := sock.Listen("127.0.0.1:0", calls)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ts.Listener = ln
+	ts.serve()
+	conn := ts.dial(t)
+	fmt.Fprint(conn, strings.Replace(validRequest, "Host: a", "Host: a\r\nConnection: close", 1))
+	readResponse(t, conn)
+	start := time.Now()
+	if _, err := conn.Read(make([]byte, 1)); err != io.EOF || time.Since(start) > lingerTimeout/2 {
+		t.Errorf("%v after %v", err, time.Since(start))
+	}
+}
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -4,6 +4,8 @@
 // its own.
 package permit
 
+import "time"
+
 // Denial is the reason why something may not be done now.
 type Denial string
 
@@ -22,13 +24,14 @@
 
 // ClientConn is what is known of a client's connection.
 type ClientConn struct {
-	ReadClosed      bool // this side reads nothing any more
-	EvictedMidway   bool // it was closed for reading within a request
-	RequestStarted  bool // bytes of the current request were read
-	RequestComplete bool // the current request was read completely
-	Responded       bool // the current request was answered
-	Pipelined       bool // complete requests were read behind the current one
-	ClientGone      bool // the client has closed or reset the connection
+	ReadClosed      bool          // this side reads nothing any more
+	EvictedMidway   bool          // it was closed for reading within a request
+	RequestStarted  bool          // bytes of the current request were read
+	RequestComplete bool          // the current request was read completely
+	Responded       bool          // the current request was answered
+	Pipelined       bool          // complete requests were read behind the current one
+	ClientGone      bool          // the client has closed or reset the connection
+	SilentFor       time.Duration // since it was accepted, or a byte was read from it or written to it
 }
 
 // Reasons concerning connections.
@@ -36,6 +39,7 @@
 	AlreadyClosed     Denial = "already closed for reading"
 	RequestInProgress Denial = "a request is in progress"
 	RequestUnread     Denial = "bytes stand in the socket, or may"
+	RequestOnItsWay   Denial = "bytes may be on their way"
 	RequestUnanswered Denial = "a request that was read has no answer"
 )
 
@@ -52,14 +56,16 @@
 	return Granted
 }
 
-// Evict asks: may the connection make room for another, because no whole request was read from it and none stands in its socket?
-// An incomplete request may be cut off.
-func Evict(c ClientConn, unread func() Unread) Denial {
+// Evict asks: may the connection make room for another, because no whole request was read from it, none stands in its socket, and
+// it has been silent for so long that none is on its way? An incomplete request may be cut off.
+func Evict(c ClientConn, minSilence time.Duration, unread func() Unread) Denial {
 	switch {
 	case c.ReadClosed:
 		return AlreadyClosed
 	case c.RequestStarted && (c.RequestComplete || c.Responded):
 		return RequestInProgress
+	case c.SilentFor < minSilence:
+		return RequestOnItsWay
 	case unread() != NoneUnread:
 		return RequestUnread
 	}
--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -1,6 +1,9 @@
 package permit
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // Each question is denied for each of its reasons, and granted once none is left.
 func TestReasons(t *testing.T) {
@@ -16,12 +19,14 @@
 		{"idle, request begun", CloseIdle(ClientConn{RequestStarted: true}, unread(NoneUnread)), RequestInProgress},
 		{"idle, bytes in the socket", CloseIdle(ClientConn{}, unread(SomeUnread)), RequestUnread},
 		{"idle, look failed", CloseIdle(ClientConn{}, unread(UnknownUnread)), RequestUnread},
-		{"evict", Evict(ClientConn{}, unread(NoneUnread)), Granted},
-		{"evict, incomplete request", Evict(ClientConn{RequestStarted: true}, unread(NoneUnread)), Granted},
-		{"evict, whole request", Evict(ClientConn{RequestStarted: true, RequestComplete: true}, unread(NoneUnread)), RequestInProgress},
-		{"evict, just answered", Evict(ClientConn{RequestStarted: true, Responded: true}, unread(NoneUnread)), RequestInProgress},
-		{"evict, bytes in the socket", Evict(ClientConn{}, unread(SomeUnread)), RequestUnread},
-		{"evict, closed", Evict(ClientConn{ReadClosed: true}, unread(NoneUnread)), AlreadyClosed},
+		{"evict", Evict(ClientConn{}, 0, unread(NoneUnread)), Granted},
+		{"evict, incomplete request", Evict(ClientConn{RequestStarted: true}, 0, unread(NoneUnread)), Granted},
+		{"evict, whole request", Evict(ClientConn{RequestStarted: true, RequestComplete: true}, 0, unread(NoneUnread)), RequestInProgress},
+		{"evict, just answered", Evict(ClientConn{RequestStarted: true, Responded: true}, 0, unread(NoneUnread)), RequestInProgress},
+		{"evict, bytes in the socket", Evict(ClientConn{}, 0, unread(SomeUnread)), RequestUnread},
+		{"evict, closed", Evict(ClientConn{ReadClosed: true}, 0, unread(NoneUnread)), AlreadyClosed},
+		{"evict, bytes may come", Evict(ClientConn{SilentFor: time.Second}, 2*time.Second, unread(NoneUnread)), RequestOnItsWay},
+		{"evict, silent for long", Evict(ClientConn{SilentFor: 2 * time.Second}, 2*time.Second, unread(NoneUnread)), Granted},
 		{"end, answered", End(ClientConn{RequestComplete: true, Responded: true}), Granted},
 		{"end, unanswered", End(ClientConn{RequestComplete: true}), RequestUnanswered},
 		{"end, another behind", End(ClientConn{RequestComplete: true, Responded: true, Pipelined: true}), RequestUnanswered},
--- a/sock/sock.go
+++ b/sock/sock.go
@@ -154,6 +154,7 @@
 // connect returns the connection of an accepted descriptor. A connection that was set up may already hold a request, so it is
 // not closed because the poller cannot register it just now.
 func (l *Listener) connect(fd int, peer syscall.Sockaddr) (net.Conn, error) {
+	acceptedAt := time.Now()
 	_ = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1) // small responses would only leave later
 	file, err := l.calls.Register(fd)
 	for pause := syserr.NewBackoff(maxRegisterRetry); err != nil && pause.Wait(); {
@@ -174,7 +175,7 @@
 	if err != nil {
 		return nil, errors.Join(err, file.Close())
 	}
-	return &Conn{file: file, raw: raw, local: l.address, remote: tcpAddr(peer), calls: l.calls}, nil
+	return &Conn{file: file, raw: raw, local: l.address, remote: tcpAddr(peer), calls: l.calls, acceptedAt: acceptedAt}, nil
 }
 
 // tcpAddr returns the address of a peer.
@@ -194,8 +195,12 @@
 	raw           syscall.RawConn
 	local, remote net.Addr
 	calls         Calls
+	acceptedAt    time.Time
 }
 
+// AcceptedAt returns when the connection was accepted. It may have been registered with the poller later.
+func (c *Conn) AcceptedAt() time.Time { return c.acceptedAt }
+
 // SyscallConn returns the raw connection.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) { return c.raw, nil }
 
--- a/syserr/recorder.go
+++ b/syserr/recorder.go
@@ -17,19 +17,20 @@
 
 // The calls that are counted.
 const (
-	Accept       Call = "accept"
-	Register     Call = "register with the poller"
-	ClientRead   Call = "client read"
-	ClientWrite  Call = "client write"
-	ClientPeek   Call = "client peek"
-	Dial         Call = "dial"
-	EndpointRead Call = "endpoint read"
-	EndpointSend Call = "endpoint write"
-	AgentDial    Call = "agent dial"
-	AgentRead    Call = "agent read"
-	AgentWrite   Call = "agent write"
-	LedgerWrite  Call = "ledger write"
-	ConfigRead   Call = "configuration read"
+	Accept         Call = "accept"
+	Register       Call = "register with the poller"
+	ClientRead     Call = "client read"
+	ClientWrite    Call = "client write"
+	ClientPeek     Call = "client peek"
+	ClientShutdown Call = "client shutdown"
+	Dial           Call = "dial"
+	EndpointRead   Call = "endpoint read"
+	EndpointSend   Call = "endpoint write"
+	AgentDial      Call = "agent dial"
+	AgentRead      Call = "agent read"
+	AgentWrite     Call = "agent write"
+	LedgerWrite    Call = "ledger write"
+	ConfigRead     Call = "configuration read"
 )
 
 // logInterval is the minimum time between two log lines about failures of the same call.
