Soak: calls on clients' sockets, to the agent, of files and clocks fail; windows at start and stop

Single calls of random kinds fail in windows of 0.3 to 1.5 s: each, each second, third or 29th; the accept, registration, read, write, look and shutdown of clients' sockets, reads and writes of connections to endpoints and the agent, opening, listing and reading of files, the configuration, the boot's ID and uptime. Two in five processes have a window in their first second, seven in ten one that begins between SIGTERM and SIGKILL. Writes of the ledger fail with none, a part or all stored, headers of segments also by themselves. Calls to the agent never all fail, as no final answer could be in time then.

--- a/intake/failing_calls_test.go
+++ b/intake/failing_calls_test.go
@@ -182,8 +182,8 @@
 	start := time.Now()
 	for name, conn := range map[string]net.Conn{"accepts": accepts.dial(t), "looks and shutdowns": looks.dial(t)} {
 		_ = conn.SetDeadline(start.Add(5 * time.Second))
-		_, err := conn.Read(make([]byte, 1))
-		if took := time.Since(start); err != io.EOF || took > silentLimit {
+		_, err := io.Copy(io.Discard, conn)
+		if took := time.Since(start); err != nil || took > silentLimit {
 			t.Errorf("%s fail: the connection ended after %v with %v", name, took, err)
 		}
 	}
--- a/lab/soak/faulty_system.go
+++ b/lab/soak/faulty_system.go
@@ -13,8 +13,8 @@
 	"syscall"
 	"time"
 
-	"orchiddrift/disk"
 	"orchiddrift/dispatcher"
+	"orchiddrift/sock"
 )
 
 // The environment variables that set the faults of a dispatcher process.
@@ -42,6 +42,7 @@
 	injector := newFaultInjector(rand.New(rand.NewPCG(seed, number<<32|uint64(start))), getenv(clockStepEnv) != "no")
 	system := dispatcher.HostSystem(getenv)
 	system.PanicOnViolation = true
+	injector.aimAtStop()
 	return dispatcher.RunOn(injector.wrap(system), logs)
 }
 
@@ -54,7 +55,7 @@
 	return len(marks), os.WriteFile(path, append(marks, '+'), 0o600)
 }
 
-// faultInjector holds the faults of a process's host. mu guards random and startFailures.
+// faultInjector holds the faults of a process's host. mu guards random, startFailures and callWindows.
 type faultInjector struct {
 	mu            sync.Mutex
 	random        *rand.Rand
@@ -64,6 +65,7 @@
 	slowWrites    []faultWindow // writes are slow
 	dialFaults    []faultWindow // dials fail with a local error
 	startFailures int           // number of further calls to open the folder, read the configuration or listen that fail
+	callWindows   []callWindow  // single calls fail
 }
 
 // faultWindow is a period with a fault. Its bounds count from the start of the process.
@@ -81,8 +83,6 @@
 	startFailureBound = 3
 	// maxWriteDelay is the upper bound of the delay of a slow write.
 	maxWriteDelay = 10 * time.Millisecond
-	// acceptFaultShare is the share of accepts that fail.
-	acceptFaultShare = 0.03
 	// dialFaultShare is the share of dials that fail outside of fault windows.
 	dialFaultShare = 0.01
 	// readFaultShare is the share of reads that fail if no data arrives shortly.
@@ -115,6 +115,7 @@
 		return windows
 	}
 	in.diskFaults, in.slowWrites, in.dialFaults = drawWindows(meanDiskFault), drawWindows(meanSlowWrites), drawWindows(meanDialFault)
+	in.drawCallWindows()
 	return in
 }
 
@@ -164,8 +165,20 @@
 func (in *faultInjector) wrap(system dispatcher.System) dispatcher.System {
 	host := system
 	system.ClockSource.Wall = func() time.Time { return host.ClockSource.Wall().Add(in.clockStep) }
+	system.ClockSource.BootID = func() (string, error) {
+		if err := in.callError(bootIDRead); err != nil {
+			return "", err
+		}
+		return host.ClockSource.BootID()
+	}
+	system.ClockSource.SinceBoot = func() (time.Duration, error) {
+		if err := in.callError(uptimeRead); err != nil {
+			return 0, err
+		}
+		return host.ClockSource.SinceBoot()
+	}
 	system.ReadFile = func(path string) ([]byte, error) {
-		if err := in.startFault(); err != nil {
+		if err := errors.Join(in.startFault(), in.callError(configRead)); err != nil {
 			return nil, err
 		}
 		return host.ReadFile(path)
@@ -184,166 +197,20 @@
 		if err := in.startFault(); err != nil {
 			return nil, err
 		}
-		ln, err := host.Listen(address)
-		if err != nil {
-			return nil, err
-		}
-		return &faultyListener{ln, in}, nil
+		return sock.Listen(address, faultySocketCalls{faultInjector: in})
 	}
 	system.Dial = func(address string, within time.Duration) (net.Conn, error) {
-		if in.active(in.dialFaults) || in.occurs(dialFaultShare) {
-			errno := in.pickError(syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENOBUFS, syscall.EMFILE, syscall.ENFILE, syscall.ENOMEM)
-			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", errno)}
-		}
-		if in.occurs(slowDialShare) {
-			delay := time.Duration(in.randomBelow(int(maxDialDelay)))
-			time.Sleep(min(delay, within))
-			if within -= delay; within <= 0 {
-				return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
-			}
+		return in.dialEndpoint(host.Dial, address, within)
+	}
+	system.DialAgent = func(address string, within time.Duration) (net.Conn, error) {
+		if err := in.callError(agentDial); err != nil {
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", err)}
 		}
-		conn, err := host.Dial(address, within)
+		conn, err := host.DialAgent(address, within)
 		if err != nil {
 			return nil, err
 		}
-		return &faultyConn{conn.(*net.TCPConn), in}, nil
+		return &failingCallsConn{conn.(*net.TCPConn), in, agentRead, agentWrite}, nil
 	}
 	return system
 }
-
-// faultyFolder is a folder with failing and slow writes.
-type faultyFolder struct {
-	dispatcher.StateFolder
-	*faultInjector
-}
-
-// Create creates a file, or fails while the disk fails.
-func (f faultyFolder) Create(name string) (disk.File, error) {
-	if f.active(f.diskFaults) {
-		return nil, f.diskError("open")
-	}
-	file, err := f.StateFolder.Create(name)
-	return faultyFile{file, f.faultInjector}, err
-}
-
-// Open opens a file, also while the disk fails.
-func (f faultyFolder) Open(name string) (disk.File, error) {
-	file, err := f.StateFolder.Open(name)
-	return faultyFile{file, f.faultInjector}, err
-}
-
-// diskError returns a random error of a failing disk.
-func (in *faultInjector) diskError(op string) error {
-	return &os.PathError{Op: op, Path: "soak", Err: in.pickError(syscall.EIO, syscall.ENOSPC)}
-}
-
-// faultyFile is a file with failing and slow writes.
-type faultyFile struct {
-	disk.File
-	*faultInjector
-}
-
-// WriteAt writes b, or only a part of it or nothing while the disk fails.
-func (f faultyFile) WriteAt(b []byte, at int64) (int, error) {
-	if f.active(f.slowWrites) {
-		time.Sleep(time.Duration(f.randomBelow(int(maxWriteDelay))))
-	}
-	if !f.active(f.diskFaults) {
-		return f.File.WriteAt(b, at)
-	}
-	n := 0
-	if f.occurs(0.5) && len(b) > 0 {
-		n, _ = f.File.WriteAt(b[:f.randomBelow(len(b))], at)
-	}
-	return n, f.diskError("write")
-}
-
-// Sync syncs the file, or fails while the disk fails.
-func (f faultyFile) Sync() error {
-	if f.active(f.diskFaults) {
-		return f.diskError("sync")
-	}
-	return f.File.Sync()
-}
-
-// faultyListener is a listener of which some accepts fail.
-type faultyListener struct {
-	net.Listener
-	*faultInjector
-}
-
-// Accept returns the next connection or a random error.
-func (l *faultyListener) Accept() (net.Conn, error) {
-	if l.occurs(acceptFaultShare) {
-		errno := l.pickError(syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.EPROTO, syscall.ENETDOWN,
-			syscall.EHOSTUNREACH, syscall.EINTR, syscall.EPERM)
-		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", errno)}
-	}
-	return l.Listener.Accept()
-}
-
-// faultyConn is a connection to an endpoint with short reads and split writes. Some reads and writes break it.
-type faultyConn struct {
-	*net.TCPConn
-	*faultInjector
-}
-
-// Read reads a random number of bytes, up to len(b), or breaks the connection and returns an error.
-func (c *faultyConn) Read(b []byte) (int, error) {
-	if c.occurs(readFaultShare) && c.breakIfIdle() {
-		return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", c.pickError(syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ECONNRESET))}
-	}
-	if len(b) > 1 {
-		b = b[:1+c.randomBelow(len(b)-1)]
-	}
-	return c.TCPConn.Read(b)
-}
-
-// breakIfIdle waits for a random time, breaks the connection if no data has arrived by then, and reports whether it did. A
-// connection with data stays open, because the endpoint has already recorded that answer as written.
-func (c *faultyConn) breakIfIdle() bool {
-	time.Sleep(time.Duration(c.randomBelow(int(maxReadFaultDelay))))
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = raw.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = errors.Is(err, syscall.EAGAIN)
-	})
-	if err != nil || !idle {
-		return false
-	}
-	_ = c.SetLinger(0)
-	_ = c.TCPConn.Close()
-	return true
-}
-
-// breakMidWrite writes a part of b, breaks the connection, and returns the number of bytes written with an error.
-func (c *faultyConn) breakMidWrite(b []byte) (int, error) {
-	n, _ := c.TCPConn.Write(b[:c.randomBelow(len(b))])
-	if c.occurs(0.5) {
-		_ = c.SetLinger(0)
-	}
-	_ = c.TCPConn.Close()
-	return n, &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", c.pickError(syscall.EPIPE, syscall.ECONNRESET, syscall.ETIMEDOUT))}
-}
-
-// Write writes b, in one or two parts, or breaks the connection.
-func (c *faultyConn) Write(b []byte) (int, error) {
-	if len(b) > 0 && c.occurs(writeFaultShare) {
-		return c.breakMidWrite(b)
-	}
-	if len(b) < 2 || !c.occurs(splitWriteShare) {
-		return c.TCPConn.Write(b)
-	}
-	first := 1 + c.randomBelow(len(b)-1)
-	n, err := c.TCPConn.Write(b[:first])
-	if err != nil {
-		return n, err
-	}
-	time.Sleep(time.Millisecond)
-	rest, err := c.TCPConn.Write(b[first:])
-	return n + rest, err
-}
