--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -7,13 +7,13 @@
 	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"orchiddrift/gateway"
 	"orchiddrift/intake"
+	"orchiddrift/sock"
 )
 
 // validRequest is a complete request with a message. sendAndPrint changes its line ends to CRLF.
@@ -127,7 +127,11 @@
 // (Example_unreadRequest), and in one of some hundred runs another connection would be evicted.
 func Example_silentClients() {
 	read := make(chan bool, 64)
-	_, addr := startServerOn(readNotifyListener{listen(), read}, fewConns, gateway.Reply{Accepted: true})
+	ln, err := sock.Listen("127.0.0.1:0", notifyingCalls{read: read})
+	if err != nil {
+		panic(err)
+	}
+	_, addr := startServerOn(ln, fewConns, gateway.Reply{Accepted: true})
 	idle, _ := net.Dial("tcp", addr)
 	fmt.Fprint(idle, "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
 	_, _ = http.ReadResponse(bufio.NewReader(idle), nil)
@@ -162,49 +166,19 @@
 	// xxxxxxx........ true
 }
 
-// readNotifyListener is a listener whose connections send to read when bytes were read from them.
-type readNotifyListener struct {
-	net.Listener
+// notifyingCalls are socket calls that send to read whenever they have read bytes.
+type notifyingCalls struct {
+	sock.HostCalls
 	read chan bool
 }
 
-// Accept accepts the next connection, whose reads are reported.
-func (l readNotifyListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// Read reads bytes and reports it.
+func (c notifyingCalls) Read(fd int, b []byte) (int, error) {
+	n, err := c.HostCalls.Read(fd, b)
+	if n > 0 {
+		c.read <- true
 	}
-	return &readNotifyConn{TCPConn: conn.(*net.TCPConn), read: l.read}, nil
-}
-
-// readNotifyConn is a connection of a readNotifyListener.
-type readNotifyConn struct {
-	*net.TCPConn
-	read chan bool
-}
-
-// SyscallConn returns the raw connection, which reports its reads.
-func (c *readNotifyConn) SyscallConn() (syscall.RawConn, error) {
-	raw, err := c.TCPConn.SyscallConn()
-	return readNotifyRawConn{raw, c.read}, err
-}
-
-// readNotifyRawConn is the raw connection of a readNotifyConn.
-type readNotifyRawConn struct {
-	syscall.RawConn
-	read chan bool
-}
-
-// Read calls f until it is done, and sends to read if f consumed bytes.
-func (w readNotifyRawConn) Read(f func(uintptr) bool) error {
-	return w.RawConn.Read(func(fd uintptr) bool {
-		n, _, _ := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		done := f(fd)
-		if done && n > 0 {
-			w.read <- true
-		}
-		return done
-	})
+	return n, err
 }
 
 // Clients that send one request and stay connected: beyond a third of the connection limit, connections are closed with their
