--- a/intake/clients.go
+++ b/intake/clients.go
@@ -129,8 +129,19 @@
 	}
 }
 
-// admit adds a connection to the open ones and reports whether it was added. It evicts another one if the limit is reached.
+// admit adds a connection to the open ones and reports whether it was added. If the limit is reached and no other one can be evicted
+// just now, because all are busy or could not be looked at, it waits for as long as the client does.
 func (l *limitListener) admit(c *clientConn) bool {
+	for pause := syserr.NewBackoff(clientPatience); !l.tryAdmit(c); {
+		if !pause.Wait() {
+			return false
+		}
+	}
+	return true
+}
+
+// tryAdmit adds a connection to the open ones and reports whether it was added. It evicts another one if the limit is reached.
+func (l *limitListener) tryAdmit(c *clientConn) bool {
 	l.lock.Lock()
 	full := len(l.open) >= l.maxConns
 	l.lock.Unlock()
--- a/intake/failing_calls_test.go
+++ b/intake/failing_calls_test.go
@@ -208,3 +208,31 @@
 		t.Errorf("%v after %v", err, time.Since(start))
 	}
 }
+
+// Guards against closing a new connection with its request because the looks at all others fail for a moment, so that none of them
+// may be evicted.
+func TestAdmissionWhileLooksFail(t *testing.T) {
+	calls := &failingCalls{}
+	l := listenWith(t, calls)
+	for range l.maxConns {
+		dialAndAccept(l)
+	}
+	calls.peek.Store(true)
+	time.AfterFunc(100*time.Millisecond, func() { calls.peek.Store(false) })
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	fmt.Fprint(client, validRequest)
+	accepted := make(chan net.Conn, 1)
+	go func() { conn, _ := l.Accept(); accepted <- conn }()
+	select {
+	case conn := <-accepted:
+		if conn.RemoteAddr().String() != client.LocalAddr().String() {
+			t.Error("another connection was accepted")
+		}
+	case <-time.After(clientPatience):
+		t.Error("the connection was not accepted")
+	}
+}
