--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -25,6 +25,7 @@
 	ctx      context.Context // the proxy ends when it is done
 	// plannedEnd records that a client's connection ends by the plan, or that its request does not reach the dispatcher.
 	plannedEnd func(client net.Addr, cause string)
+	crowded    bool // idle connections use up the dispatcher's, so that it closes others between two requests
 }
 
 // Causes of planned ends.
@@ -32,6 +33,7 @@
 	causeCut         = "cut by the proxy"
 	causeUnreachable = "no connection from the proxy to the dispatcher"
 	causeEnded       = "ended before the proxy forwarded the request"
+	causeCrowded     = "crossed a close between requests on a crowded dispatcher"
 	causeRunOver     = "the run was over"
 )
 
@@ -56,12 +58,12 @@
 )
 
 // newProxy starts a proxy that listens on the address listen and forwards to upstream until ctx is done.
-func newProxy(ctx context.Context, listen, upstream string, random *rand.Rand, plannedEnd func(net.Addr, string)) (*proxy, error) {
+func newProxy(ctx context.Context, listen, upstream string, random *rand.Rand, plannedEnd func(net.Addr, string), crowded bool) (*proxy, error) {
 	ln, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{upstream: upstream, listener: ln, random: random, ctx: ctx, plannedEnd: plannedEnd}
+	p := &proxy{upstream: upstream, listener: ln, random: random, ctx: ctx, plannedEnd: plannedEnd, crowded: crowded}
 	p.done.Go(p.serve)
 	context.AfterFunc(ctx, func() { _ = ln.Close() })
 	return p, nil
@@ -125,7 +127,11 @@
 		defer close(answersDone)
 		broken := p.forwardAnswers(client, server, faults.chunkSize, requests)
 		if requests.justForwarded() {
-			p.plannedEnd(client.RemoteAddr(), rules.ExcuseClosing)
+			cause := rules.ExcuseClosing
+			if p.crowded && requests.answeredBefore() {
+				cause = causeCrowded
+			}
+			p.plannedEnd(client.RemoteAddr(), cause)
 		}
 		if broken {
 			_ = client.SetLinger(0)
@@ -144,6 +150,7 @@
 type requestTracker struct {
 	mu          sync.Mutex
 	forwardedAt time.Time // when the first byte of the current request was forwarded; zero: none since the last answer
+	reused      bool      // an answer has come before
 }
 
 // forwarding records that bytes of a request are about to be forwarded, and reports whether they are the first.
@@ -161,7 +168,14 @@
 func (r *requestTracker) answered() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.forwardedAt = time.Time{}
+	r.forwardedAt, r.reused = time.Time{}, true
+}
+
+// answeredBefore reports whether the connection has carried an answer.
+func (r *requestTracker) answeredBefore() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reused
 }
 
 // justForwarded reports whether a request began to be forwarded so recently that its first byte may have crossed the end of the
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -208,7 +208,7 @@
 		p, err := newProxy(ctx, network.ProxyAddr(i), network.DispatcherAddr(i), newRand(h.seed, proxyStream<<32|uint64(i)),
 			func(client net.Addr, cause string) {
 				journal.AddPlannedEnd(record.PlannedEnd{Addr: client.String(), At: clock.Now(), Cause: cause})
-			})
+			}, slices.Contains(h.flooded, i))
 		if err != nil {
 			h.stop()
 			return nil, fmt.Errorf("proxy: %w", err)
