--- /dev/null
+++ b/dispatcher/process.go
@@ -0,0 +1,183 @@
+package dispatcher
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"orchiddrift/directory"
+	"orchiddrift/gateway"
+	"orchiddrift/intake"
+	"orchiddrift/invariant"
+	"orchiddrift/platform"
+	"orchiddrift/push"
+	"orchiddrift/sock"
+	"orchiddrift/syserr"
+)
+
+// firstListTimeout is the maximum time after the start for which pushes wait for the first list from discovery.
+const firstListTimeout = 500 * time.Millisecond
+
+// eventQueueSize is the maximum number of events queued for the gateway's loop.
+const eventQueueSize = 1024
+
+// process holds the parts of a dispatcher that has read its configuration and its folder.
+type process struct {
+	system     System
+	cfg        *config
+	startup    *startupSequence
+	log        zerolog.Logger
+	parts      components
+	state      *persistentState
+	errors     *syserr.Recorder
+	invariants *invariant.Counters
+	agent      *platform.Agent
+	runner     *gateway.Runner
+}
+
+// newProcess opens the folder and assembles the parts of a dispatcher. It returns errStoppedDuringStartup if a stop signal arrives.
+func newProcess(system System, cfg *config, startup *startupSequence) (*process, error) {
+	dir := directory.New()
+	parts, err := cfg.build(dir)
+	if err != nil {
+		return nil, err
+	}
+	startup.enableLog(startup.log)
+	dir.Replace(cfg.Known.Endpoints())
+	p := &process{system: system, cfg: cfg, startup: startup, log: startup.log, parts: parts, errors: syserr.NewRecorder(startup.log),
+		invariants: &invariant.Counters{Log: startup.log, Strict: system.PanicOnViolation}}
+	err = startup.retry("folder", func() (err error) {
+		p.state, err = openState(system, cfg, p.log, time.Since(startup.startedAt) > clockRetryTimeout)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.agent = platform.NewAgent(cfg.Discovery, cfg.Known.Version, p.log)
+	p.agent.SetDialer(retryingDialer(system.DialAgent, p.errors, syserr.AgentDial, syserr.AgentRead, syserr.AgentWrite))
+	p.runner = p.newRunner(dir)
+	return p, nil
+}
+
+// newRunner returns the runner of a gateway that pushes to the endpoints of a directory.
+func (p *process) newRunner(dir *directory.Directory) *gateway.Runner {
+	r := &gateway.Runner{
+		Gateway: gateway.New(p.parts.scheduler, dir, p.state.ledger.HasRoom, p.parts.separateRoutes, p.parts.batchSizes,
+			p.parts.dialTimeout),
+		Ledger:        p.state.ledger,
+		Platform:      p.agent,
+		Clock:         p.state.clock,
+		Tick:          p.parts.tick,
+		Log:           p.log,
+		Events:        make(chan gateway.Event, eventQueueSize),
+		Dialer:        retryingDialer(p.system.Dial, p.errors, syserr.Dial, syserr.EndpointRead, syserr.EndpointSend),
+		WritePerEvent: p.cfg.Ledger.Sync == syncAlways,
+		Metrics:       gateway.NewMetrics(),
+		Replies:       invariant.NewReplyChecker(p.invariants),
+		Errors:        p.errors,
+	}
+	firstListBy := p.state.clock() + firstListTimeout.Seconds()
+	margins := invariant.Margins{DrainGrace: p.parts.drainGrace, KeyHold: p.parts.scheduler.KeyCooldown()}
+	r.Gateway.SetSendChecker(invariant.NewSendChecker(p.invariants, margins, firstListBy))
+	r.Gateway.AdvanceCallID(p.state.ledger.LastCallNumber())
+	r.Gateway.AwaitFirstList(firstListBy)
+	return r
+}
+
+// run restores the pending notifications, serves clients and pushes notifications until a stop signal or an error.
+func (p *process) run() error {
+	p.log.Info().Int("owed", len(p.state.pending)).Int("taken_over", p.state.report.MigratedRecords).Int("listed", len(p.cfg.Known.Servers)).
+		Msg("start")
+	p.runner.Restore(p.state.pending)
+	go p.agent.SendNotices()
+	if !p.cfg.values.ListOnDemand() {
+		p.agent.WatchForever(p.runner.Post)
+	}
+	ln, err := p.system.Listen(p.cfg.Listen)
+	if err != nil && !isTransient(err) {
+		return err
+	}
+	if err == nil {
+		p.startup.recordStep("listener")
+	}
+	done, failed := make(chan struct{}), make(chan error, 1)
+	stopLoop := sync.OnceFunc(func() { close(done) })
+	fail := func(err error) {
+		failed <- err
+		stopLoop()
+	}
+	go p.serve(ln, stopLoop, fail)
+	p.runner.Run(done)
+	p.log.Info().Int("held", p.runner.Gateway.Pending()).Msg("end")
+	select {
+	case err := <-failed:
+		return err
+	default:
+		return nil
+	}
+}
+
+// serve serves clients until a stop signal, and then carries out the stop. If ln is nil, it listens first: that may fail for some
+// seconds if the address is still in use, and pending notifications are pushed meanwhile.
+func (p *process) serve(ln net.Listener, stopLoop func(), fail func(error)) {
+	server := p.newServer()
+	var err error
+	if ln == nil {
+		err = p.startup.retry("listener", func() (err error) { ln, err = p.system.Listen(p.cfg.Listen); return err })
+	}
+	switch {
+	case errors.Is(err, errStoppedDuringStartup):
+	case err != nil:
+		fail(err)
+		return
+	default:
+		go func() {
+			if err := server.Serve(ln); err != nil {
+				fail(err)
+			}
+		}()
+		<-p.startup.stopSignals
+	}
+	p.log.Info().Msg("stopping")
+	stop(server, p.runner, stopLoop)
+}
+
+// newServer returns the server for clients.
+func (p *process) newServer() *intake.Server {
+	server := intake.NewServer(p.state.clock, p.parts.scheduler.TopicTTL, p.runner.Post, descriptorLimit(p.cfg.Limits.Sockets)/2, p.log)
+	server.SetErrorRecorder(p.errors)
+	server.SetMetrics(p.invariants, func(w io.Writer) {
+		p.runner.Metrics.Write(w)
+		p.errors.Write(w)
+	})
+	return server
+}
+
+// retryingDialer returns a dialer whose connections try failed calls again, and that records failed dials and calls.
+func retryingDialer(dial func(string, time.Duration) (net.Conn, error), errs *syserr.Recorder, dialCall, readCall, writeCall syserr.Call) push.Dialer {
+	return func(address string, timeout time.Duration) (net.Conn, error) {
+		conn, err := dial(address, timeout)
+		if err != nil {
+			if syserr.Local(err) {
+				errs.Failed(dialCall, address, err)
+			}
+			return nil, err
+		}
+		return sock.NewRetryingConn(conn, errs, readCall, writeCall), nil
+	}
+}
+
+// descriptorLimit returns the number of file descriptors that the process may hold: the configured one, or the
+// RLIMIT_NOFILE soft limit if that is lower.
+func descriptorLimit(configured int) int {
+	var rlimit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &rlimit) != nil || rlimit.Cur > uint64(configured) {
+		return configured
+	}
+	return int(rlimit.Cur)
+}
