Mend: a final answer late by the time in which its request could not be read

TestDelayedRequestKeepsItsTime, red without this. TestPassedDeadlineTransfersNothing guards against a first form that kept the result of the read before.

--- a/intake/client.go
+++ b/intake/client.go
@@ -37,6 +37,8 @@
 	net.Conn
 	rawConn              syscall.RawConn // nil if Conn is not a socket of the operating system
 	calls                sock.Calls      // the system calls on rawConn's descriptor
+	reading, writing     attempt         // only the goroutine that reads, or writes, uses them
+	tryRead, tryWrite    func(fd uintptr) bool
 	listener             *limitListener
 	readClosed           bool        // closed for reading by this side
 	closed               bool        // Close was called
@@ -51,6 +53,7 @@
 	framer               framer
 	handledRequests      int           // number of requests passed to the handler
 	heardAt              time.Time     // when it was accepted, or bytes were last read or written
+	readDelay            time.Duration // how long reads of the current request have failed; only the goroutine that reads uses it
 	queuedFor            time.Duration // how long the connection may have waited to be accepted while accepts failed
 }
 
@@ -62,6 +65,7 @@
 	}
 	if s, ok := conn.(syscall.Conn); ok {
 		c.rawConn, _ = s.SyscallConn()
+		c.setUpAttempts()
 	}
 	return c
 }
@@ -96,14 +100,17 @@
 		n, err = c.Conn.Read(b)
 		return c.acceptBytes(b[:n]), err
 	}
-	extended := false
-	for pause := syserr.NewBackoff(maxReadRetry); ; {
-		waitErr := c.rawConn.Read(func(fd uintptr) bool {
-			n, err = c.readUnlessClosed(int(fd), b)
-			return !errors.Is(err, syscall.EAGAIN)
-		})
+	var pause *syserr.Backoff
+	var failingSince time.Time
+	for extended := false; ; {
+		c.reading = attempt{buffer: b}
+		waitErr := c.rawConn.Read(c.tryRead)
+		n, err = c.reading.n, c.reading.err
 		switch {
 		case n > 0:
+			if pause != nil {
+				c.readDelay += time.Since(failingSince)
+			}
 			return n, nil
 		case errors.Is(waitErr, os.ErrDeadlineExceeded) && !extended && c.extendIdleDeadline():
 			extended = true
@@ -111,17 +118,36 @@
 			return 0, waitErr
 		case err == nil:
 			return 0, io.EOF
-		case !syserr.ConnMayPass(err) || !c.pauseAfter(syserr.ClientRead, err, pause):
-			return 0, os.NewSyscallError("read", err)
+		default:
+			if pause == nil {
+				failingSince = time.Now()
+			}
+			if !syserr.ConnMayPass(err) || !c.pauseAfter(syserr.ClientRead, err, &pause, maxReadRetry) {
+				return 0, os.NewSyscallError("read", err)
+			}
 		}
 	}
 }
 
+// arrivalDelay returns how long the current request may have waited for this process, in seconds: its connection to be accepted, or
+// its bytes to be read, while calls failed. The client has left after clientPatience.
+func (c *clientConn) arrivalDelay() float64 {
+	delay := c.readDelay
+	if isFirstRequest := c.handledRequests <= 1; isFirstRequest {
+		delay += c.queuedFor
+	}
+	return min(delay, clientPatience).Seconds()
+}
+
 // maxReadRetry limits the attempts to read after errors that may pass. The read deadlines end before it.
 const maxReadRetry = 2 * idleTimeout
 
-// pauseAfter records an error that may pass, waits, and reports whether to try again.
-func (c *clientConn) pauseAfter(call syserr.Call, err error, pause *syserr.Backoff) bool {
+// pauseAfter records an error that may pass, waits, and reports whether to try again. It sets pause, which limits the attempts to
+// the given time, at the first error.
+func (c *clientConn) pauseAfter(call syserr.Call, err error, pause **syserr.Backoff, limit time.Duration) bool {
+	if *pause == nil {
+		*pause = syserr.NewBackoff(limit)
+	}
 	c.listener.lock.Lock()
 	id := c.requestID
 	c.listener.lock.Unlock()
@@ -129,7 +155,7 @@
 		id = c.RemoteAddr().String()
 	}
 	c.listener.errors.Failed(call, id, err)
-	return pause.Wait()
+	return (*pause).Wait()
 }
 
 // extendIdleDeadline allows some more time if the idle time-out has passed over bytes that are still in the socket, because they
@@ -162,6 +188,27 @@
 	return len(b)
 }
 
+// attempt is a read or write on the descriptor and its result.
+type attempt struct {
+	buffer []byte
+	n      int
+	err    error
+}
+
+// setUpAttempts creates the functions that rawConn calls on its descriptor, once for all reads and writes. They report whether the
+// call need not wait.
+func (c *clientConn) setUpAttempts() {
+	c.tryRead = func(fd uintptr) bool {
+		c.reading.n, c.reading.err = c.readUnlessClosed(int(fd), c.reading.buffer)
+		return !errors.Is(c.reading.err, syscall.EAGAIN)
+	}
+	c.tryWrite = func(fd uintptr) bool {
+		n, err := c.calls.Write(int(fd), c.writing.buffer)
+		c.writing.n, c.writing.err = max(0, n), err
+		return !errors.Is(err, syscall.EAGAIN)
+	}
+}
+
 // readUnlessClosed reads the bytes that have arrived, unless the connection is closed for reading.
 func (c *clientConn) readUnlessClosed(fd int, b []byte) (int, error) {
 	c.listener.lock.Lock()
@@ -214,23 +261,24 @@
 	if c.rawConn == nil {
 		return c.Conn.Write(b)
 	}
-	for pause := syserr.NewBackoff(ioTimeout); ; {
-		waitErr := c.rawConn.Write(func(fd uintptr) bool {
-			var n int
-			n, err = c.calls.Write(int(fd), b[written:])
-			written += max(0, n)
-			return !errors.Is(err, syscall.EAGAIN)
-		})
+	var pause *syserr.Backoff
+	var lastErr error // that may pass
+	for {
+		c.writing = attempt{buffer: b[written:]}
+		waitErr := c.rawConn.Write(c.tryWrite)
+		written, err = written+c.writing.n, c.writing.err
 		switch {
-		case waitErr != nil && err != nil && !errors.Is(err, syscall.EAGAIN): // the deadline has passed during a pause
-			return written, os.NewSyscallError("write", err)
+		case waitErr != nil && pause != nil: // the deadline has passed while writes failed
+			return written, os.NewSyscallError("write", lastErr)
 		case waitErr != nil:
 			return written, waitErr
 		case err == nil && written == len(b):
 			return written, nil
 		case err == nil: // the buffer took a part
-		case !syserr.ConnMayPass(err) || !c.pauseAfter(syserr.ClientWrite, err, pause):
+		case !syserr.ConnMayPass(err) || !c.pauseAfter(syserr.ClientWrite, err, &pause, ioTimeout):
 			return written, os.NewSyscallError("write", err)
+		default:
+			lastErr = err
 		}
 	}
 }
--- a/intake/failing_calls_test.go
+++ b/intake/failing_calls_test.go
@@ -1,10 +1,12 @@
 package intake
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -13,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"orchiddrift/gateway"
 	"orchiddrift/invariant"
 	"orchiddrift/permit"
 	"orchiddrift/sock"
@@ -236,3 +239,79 @@
 		t.Error("the connection was not accepted")
 	}
 }
+
+// Guards against bytes of an earlier read or write that count for one that never reached the socket, because its deadline had passed.
+func TestPassedDeadlineTransfersNothing(t *testing.T) {
+	l := listenWith(t, &failingCalls{})
+	c := acceptWithRequest(t, l)
+	b := make([]byte, 4<<10)
+	if n, err := c.Read(b); n == 0 || err != nil {
+		t.Fatal(n, err)
+	}
+	if n, err := c.Write([]byte("hello")); n != 5 || err != nil {
+		t.Fatal(n, err)
+	}
+	past := time.Unix(1, 0)
+	_ = c.SetReadDeadline(past)
+	_ = c.SetWriteDeadline(past)
+	if n, err := c.Read(b); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+	if n, err := c.Write([]byte("hello")); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("wrote %d bytes, %v", n, err)
+	}
+}
+
+// failingReads are socket calls whose reads fail until a time.
+type failingReads struct {
+	sock.HostCalls
+	until atomic.Int64 // in Unix nanoseconds
+}
+
+func (c *failingReads) Read(fd int, b []byte) (int, error) {
+	if time.Now().UnixNano() < c.until.Load() {
+		return -1, syscall.ENOMEM
+	}
+	return c.HostCalls.Read(fd, b)
+}
+
+// Guards against a final answer that is late because the request could not be read for a moment: its time runs from its last byte.
+// The soak found one 0.36 s late (seed 573110): its connection had waited to be registered.
+func TestDelayedRequestKeepsItsTime(t *testing.T) {
+	const delay, budget = 300 * time.Millisecond, 0.48 // as in validRequest
+	for name, failReads := range map[string]bool{"reads": true, "accepts": false} {
+		start, expiresAt := time.Now(), make(chan float64, 9)
+		calls := &failingReads{}
+		ln, err := sock.Listen("127.0.0.1:0", calls)
+		if err != nil {
+			t.Fatal(err)
+		}
+		failing := &failingListener{Listener: ln, err: syscall.ENOBUFS}
+		s := NewServer(func() float64 { return time.Since(start).Seconds() }, func(string) (float64, bool) { return 9, true }, func(e gateway.Event) {
+			expiresAt <- e.(gateway.Arrived).Message.ExpiresAt
+			e.(gateway.Arrived).Respond(gateway.Reply{Accepted: true})
+		}, 10, zerolog.Nop())
+		if failReads {
+			calls.until.Store(time.Now().Add(delay).UnixNano())
+		} else {
+			failing.failures.Store(int32(delay / retryDelay))
+		}
+		go func() { _ = s.Serve(failing) }()
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range 2 { // the second request is not delayed
+			sentAt := time.Since(start).Seconds()
+			fmt.Fprint(conn, validRequest)
+			if resp := readResponse(t, conn); resp.StatusCode != http.StatusAccepted {
+				t.Fatal(resp.StatusCode)
+			}
+			if at := <-expiresAt; at > sentAt+budget+0.03 || i == 1 && at < sentAt+budget {
+				t.Errorf("%s fail: request %d of %.3f s expires at %.3f s, %.0f ms after its time", name, i+1, sentAt, at, 1000*(at-sentAt-budget))
+			}
+		}
+		conn.Close()
+		ln.Close()
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -184,7 +184,9 @@
 	if err != nil {
 		return nil, err
 	}
-	m.ExpiresAt = s.clock() + min(budget, ttl) // a mistaken budget must not keep a message pending for days
+	c := ctx.Conn().(*clientConn)
+	m.ExpiresAt = s.clock() + min(budget, ttl) - c.arrivalDelay() // a mistaken budget must not keep a message pending for days
+	c.readDelay = 0
 	return m, nil
 }
 
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -43,7 +43,7 @@
 
 // shortSeeds lists the seeds of TestSoak. Together they have kills, restarts, stalls and series of signals, slow and missing
 // lists, faults of partners, floods of idle connections, and a plan with thousands of endpoints.
-var shortSeeds = []uint64{5, 6, 9, 10}
+var shortSeeds = []uint64{5, 6, 9, 10, 571004, 572001}
 
 // Runs short soaks: overlapping random faults must cause no findings. Findings do not count if the host was too busy.
 func TestSoak(t *testing.T) {
