--- /dev/null
+++ b/intake/client_io.go
@@ -0,0 +1,226 @@
+package intake
+
+import (
+	"errors"
+	"io"
+	"os"
+	"syscall"
+	"time"
+
+	"orchiddrift/invariant"
+	"orchiddrift/permit"
+	"orchiddrift/syserr"
+)
+
+// Read reads from the connection. It checks readClosed with each attempt to read from the socket, so that nothing is read
+// from a connection that is closed for reading.
+func (c *clientConn) Read(b []byte) (int, error) {
+	c.listener.lock.Lock()
+	if c.responded {
+		c.requestStarted = false
+	}
+	c.listener.lock.Unlock()
+	n, err := c.awaitBytes(b)
+	c.listener.lock.Lock()
+	defer c.listener.lock.Unlock()
+	switch {
+	case n > 0:
+		return n, nil
+	case c.readClosed:
+		return 0, io.EOF
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.setReason(idleTimedOut)
+	default:
+		c.setReason(closedByClient)
+	}
+	return 0, err
+}
+
+// awaitBytes waits until bytes can be read and reads them.
+func (c *clientConn) awaitBytes(b []byte) (n int, err error) {
+	if c.rawConn == nil { // not a system socket: the check can only follow the read
+		n, err = c.Conn.Read(b)
+		return c.acceptBytes(b[:n]), err
+	}
+	var pause *syserr.Backoff
+	var failingSince time.Time
+	for extended := false; ; {
+		c.reading = attempt{buffer: b}
+		waitErr := c.rawConn.Read(c.tryRead)
+		n, err = c.reading.n, c.reading.err
+		switch {
+		case n > 0:
+			if pause != nil {
+				c.readDelay += time.Since(failingSince)
+			}
+			return n, nil
+		case errors.Is(waitErr, os.ErrDeadlineExceeded) && !extended && c.extendIdleDeadline():
+			extended = true
+		case waitErr != nil:
+			return 0, waitErr
+		case err == nil:
+			return 0, io.EOF
+		default:
+			if pause == nil {
+				failingSince = time.Now()
+			}
+			if !syserr.ConnMayPass(err) || !c.pauseAfter(syserr.ClientRead, err, &pause, maxReadRetry) {
+				return 0, os.NewSyscallError("read", err)
+			}
+		}
+	}
+}
+
+// arrivalDelay returns how long the current request may have waited for this process, in seconds: its connection to be accepted, or
+// its bytes to be read, while calls failed. The client has left after clientPatience.
+func (c *clientConn) arrivalDelay() float64 {
+	delay := c.readDelay
+	if isFirstRequest := c.handledRequests <= 1; isFirstRequest {
+		delay += c.queuedFor
+	}
+	return min(delay, clientPatience).Seconds()
+}
+
+// maxReadRetry limits the attempts to read after errors that may pass. The read deadlines end before it.
+const maxReadRetry = 2 * idleTimeout
+
+// pauseAfter records an error that may pass, waits, and reports whether to try again. It sets pause, which limits the attempts to
+// the given time, at the first error.
+func (c *clientConn) pauseAfter(call syserr.Call, err error, pause **syserr.Backoff, limit time.Duration) bool {
+	if *pause == nil {
+		*pause = syserr.NewBackoff(limit)
+	}
+	c.listener.lock.Lock()
+	id := c.requestID
+	c.listener.lock.Unlock()
+	if id == "" {
+		id = c.RemoteAddr().String()
+	}
+	c.listener.errors.Failed(call, id, err)
+	return (*pause).Wait()
+}
+
+// extendIdleDeadline allows some more time if the idle time-out has passed over bytes that are still in the socket, because they
+// have just arrived or could not be read. It reports whether it did.
+func (c *clientConn) extendIdleDeadline() bool {
+	c.listener.lock.Lock()
+	denial := permit.CloseIdle(c.state(), c.unread)
+	c.listener.lock.Unlock()
+	if denial != permit.RequestUnread {
+		return false
+	}
+	return c.SetReadDeadline(time.Now().Add(clientPatience)) == nil
+}
+
+// clientPatience is how long clients wait for an answer, as specified by the platform.
+const clientPatience = 400 * time.Millisecond
+
+// acceptBytes records bytes that were read and returns how many of them may be used. If the connection is closed for reading,
+// it returns 0 and reports an invariant violation if there are any.
+func (c *clientConn) acceptBytes(b []byte) int {
+	c.listener.lock.Lock()
+	defer c.listener.lock.Unlock()
+	if c.readClosed {
+		if len(b) > 0 {
+			c.listener.invariants.Report(invariant.ReadAfterClose, c.requestID, "%d bytes from %s", len(b), c.RemoteAddr())
+		}
+		return 0
+	}
+	c.recordBytes(b)
+	return len(b)
+}
+
+// attempt is a read or write on the descriptor and its result.
+type attempt struct {
+	buffer []byte
+	n      int
+	err    error
+}
+
+// setUpAttempts creates the functions that rawConn calls on its descriptor, once for all reads and writes. They report whether the
+// call need not wait.
+func (c *clientConn) setUpAttempts() {
+	c.tryRead = func(fd uintptr) bool {
+		c.reading.n, c.reading.err = c.readUnlessClosed(int(fd), c.reading.buffer)
+		return !errors.Is(c.reading.err, syscall.EAGAIN)
+	}
+	c.tryWrite = func(fd uintptr) bool {
+		n, err := c.calls.Write(int(fd), c.writing.buffer)
+		c.writing.n, c.writing.err = max(0, n), err
+		return !errors.Is(err, syscall.EAGAIN)
+	}
+}
+
+// readUnlessClosed reads the bytes that have arrived, unless the connection is closed for reading.
+func (c *clientConn) readUnlessClosed(fd int, b []byte) (int, error) {
+	c.listener.lock.Lock()
+	defer c.listener.lock.Unlock()
+	if c.readClosed {
+		return 0, nil
+	}
+	n, err := c.readNonBlocking(fd, b)
+	c.recordBytes(b[:n])
+	return n, err
+}
+
+// recordBytes records bytes of a request that were read. The caller holds the lock.
+func (c *clientConn) recordBytes(b []byte) {
+	if len(b) > 0 {
+		c.requestStarted, c.responded, c.heardAt = true, false, time.Now()
+		c.framer.feed(b)
+	}
+}
+
+// readNonBlocking reads what a non-blocking socket holds. It returns 0 and no error at the end of the stream.
+func (c *clientConn) readNonBlocking(fd int, b []byte) (int, error) {
+	for {
+		n, err := c.calls.Read(fd, b)
+		if !errors.Is(err, syscall.EINTR) {
+			return max(0, n), err
+		}
+	}
+}
+
+// Write writes bytes of a response and records that the current request was answered.
+func (c *clientConn) Write(b []byte) (int, error) {
+	n, err := c.writeBytes(b)
+	c.listener.lock.Lock()
+	defer c.listener.lock.Unlock()
+	switch {
+	case err == nil:
+		c.responded, c.heardAt = true, time.Now()
+	case syserr.ConnMayPass(err):
+		c.setReason(responseUnwritten)
+	default: // the client is gone, or does not take its response
+		c.setReason(closedByClient)
+	}
+	return n, err
+}
+
+// writeBytes writes all of b, waiting while the socket's buffer is full. After an error that may pass it tries again with the
+// rest, until the write deadline.
+func (c *clientConn) writeBytes(b []byte) (written int, err error) {
+	if c.rawConn == nil {
+		return c.Conn.Write(b)
+	}
+	var pause *syserr.Backoff
+	var lastErr error // that may pass
+	for {
+		c.writing = attempt{buffer: b[written:]}
+		waitErr := c.rawConn.Write(c.tryWrite)
+		written, err = written+c.writing.n, c.writing.err
+		switch {
+		case waitErr != nil && pause != nil: // the deadline has passed while writes failed
+			return written, os.NewSyscallError("write", lastErr)
+		case waitErr != nil:
+			return written, waitErr
+		case err == nil && written == len(b):
+			return written, nil
+		case err == nil: // the buffer took a part
+		case !syserr.ConnMayPass(err) || !c.pauseAfter(syserr.ClientWrite, err, &pause, ioTimeout):
+			return written, os.NewSyscallError("write", err)
+		default:
+			lastErr = err
+		}
+	}
+}
