gateway: the exit state is counted only once intake is closed; queued events are applied at the exit

ExitState walked all pending messages in each iteration of the loop, where Finished had stopped at the first. A call's end that is queued as the exit becomes due is applied, as it was at the old stop.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,6 +124,9 @@
 // ExitState returns what decides whether the process may exit, as far as the gateway knows it.
 func (g *Gateway) ExitState() permit.Process {
 	state := permit.Process{IntakeClosed: g.intakeClosed, PushesStopped: g.pushesStopped, ExitDue: g.exitDue, Pending: len(g.pending)}
+	if !g.intakeClosed {
+		return state // the process may not exit whatever the messages' states, which are not worth counting in each iteration of the loop
+	}
 	for _, p := range g.pending {
 		if p.call != nil {
 			state.CallsInFlight++
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -93,6 +93,7 @@
 		r.wakeAt = r.Clock() + wait
 		timer.Reset(max(minSleep, time.Duration(wait*float64(time.Second))))
 	}
+	r.drainEvents() // the end of a call in flight may have been queued since the last iteration
 }
 
 // runRound places the messages that are due, and returns the time, in seconds, until the next round is due.
