--- a/gateway/run.go
+++ b/gateway/run.go
@@ -70,7 +70,7 @@
 	lastRound := math.Inf(-1)
 	r.wakeAt = r.Clock()
 	defer r.reportEnd()
-	for !r.mayExit() {
+	for !r.exitReached() {
 		select {
 		case <-stop:
 			r.drainEvents()
@@ -93,7 +93,16 @@
 		r.wakeAt = r.Clock() + wait
 		timer.Reset(max(minSleep, time.Duration(wait*float64(time.Second))))
 	}
-	r.drainEvents() // the end of a call in flight may have been queued since the last iteration
+}
+
+// exitReached reports whether the process may exit, also after the events that are queued by then, such as the end of a call in
+// flight.
+func (r *Runner) exitReached() bool {
+	if !r.mayExit() {
+		return false
+	}
+	r.drainEvents()
+	return r.mayExit()
 }
 
 // runRound places the messages that are due, and returns the time, in seconds, until the next round is due.
