--- a/gateway/fault_test.go
+++ b/gateway/fault_test.go
@@ -133,6 +133,31 @@
 	t.Run("notice", noticeWaitsForLedger)
 	t.Run("push", pushAfterDiskFailure)
 	t.Run("overdue", noticeDueDuringDiskFailure)
+	t.Run("exit", exitDuringDiskFailure)
+}
+
+// Guards against a delivered message that the next process finds pending, because the process ended while the record of its end could
+// not be written.
+func exitDuringDiskFailure(t *testing.T) {
+	r := newDiskFixture(t, time.Now())
+	if !r.submit(1020) {
+		t.Fatal("message not accepted")
+	}
+	expectNext(t, "push", r.calls, "A1")
+	r.failWrites.Store(true)
+	r.statuses <- http.StatusOK
+	for r.failedWrites.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	for _, e := range []gateway.Event{gateway.IntakeClosed{}, gateway.PushesStopped{}, gateway.ExitDue{}} {
+		r.Post(e)
+	}
+	time.Sleep(200 * time.Millisecond)
+	r.failWrites.Store(false)
+	time.Sleep(300 * time.Millisecond)
+	if n := r.pendingAfterRestart(t); n != 0 {
+		t.Errorf("%d messages pending after the end", n)
+	}
 }
 
 // Guards against losing the end of a push because the disk failed when the message was delivered: its record must be
