--- a/intake/client.go
+++ b/intake/client.go
@@ -193,4 +193,3 @@
 func (c *clientConn) hasPipelinedRequestsLocked() bool {
 	return !c.framer.failed && c.framer.completedRequests > c.handledRequests
 }
-
