Read again: one client time-out, one reading of the clock's sources, set-ups of tests shared

intake wrote gateway's client time-out of 0.4 s again; it takes gateway.ClientTimeout now. clock.Open read the boot's ID, the uptime and the folder a second time through Save; it stores what it has read.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -84,9 +84,16 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrOffsetUnreadable, err)
 	}
-	if !known {
-		err = writeOffsetFile(c.folder, formatOffsetLine(bootID, c.Now()-uptime.Seconds()), c.sync)
+	if known {
+		c.saved = true
+		return nil
 	}
+	return c.store(bootID, uptime)
+}
+
+// store writes the clock's offset from the time since boot, which was read just now, to the folder.
+func (c *Clock) store(bootID string, uptime time.Duration) error {
+	err := writeOffsetFile(c.folder, formatOffsetLine(bootID, c.Now()-uptime.Seconds()), c.sync)
 	c.saved = err == nil
 	return err
 }
@@ -121,7 +128,7 @@
 		c.baseSeconds, c.saved = offset+uptime.Seconds(), true
 		return c, nil
 	}
-	return c, c.Save()
+	return c, c.store(bootID, uptime)
 }
 
 // readOffset returns the offset stored for the given boot. known reports whether there is one.
--- a/gateway/fault_test.go
+++ b/gateway/fault_test.go
@@ -139,16 +139,7 @@
 // Guards against a delivered message that the next process finds pending, because the process ended while the record of its end could
 // not be written.
 func exitDuringDiskFailure(t *testing.T) {
-	r := newDiskFixture(t, time.Now())
-	if !r.submit(1020) {
-		t.Fatal("message not accepted")
-	}
-	expectNext(t, "push", r.calls, "A1")
-	r.failWrites.Store(true)
-	r.statuses <- http.StatusOK
-	for r.failedWrites.Load() < 2 {
-		time.Sleep(time.Millisecond)
-	}
+	r := deliverWhileWritesFail(t)
 	for _, e := range []gateway.Event{gateway.IntakeClosed{}, gateway.PushesStopped{}, gateway.ExitDue{}} {
 		r.Post(e)
 	}
@@ -161,9 +152,9 @@
 	}
 }
 
-// Guards against losing the end of a push because the disk failed when the message was delivered: its record must be
-// written once the disk recovers, so that no message is pending after a restart.
-func deliveryDuringDiskFailure(t *testing.T) {
+// deliverWhileWritesFail returns a fixture whose message was delivered while writes fail: the record of its end waits.
+func deliverWhileWritesFail(t *testing.T) *diskFixture {
+	t.Helper()
 	r := newDiskFixture(t, time.Now())
 	if !r.submit(1020) {
 		t.Fatal("message not accepted")
@@ -174,6 +165,13 @@
 	for r.failedWrites.Load() < 2 {
 		time.Sleep(time.Millisecond)
 	}
+	return r
+}
+
+// Guards against losing the end of a push because the disk failed when the message was delivered: its record must be
+// written once the disk recovers, so that no message is pending after a restart.
+func deliveryDuringDiskFailure(t *testing.T) {
+	r := deliverWhileWritesFail(t)
 	r.failWrites.Store(false)
 	time.Sleep(300 * time.Millisecond)
 	r.stop()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,17 +85,17 @@
 // PausePushes holds back all pushes until the given time.
 func (g *Gateway) PausePushes(until float64) { g.pausedUntil = max(g.pausedUntil, until) }
 
-// clientTimeout is the time, in seconds, that a client waits for the answer to its request, as specified by the
+// ClientTimeout is the time, in seconds, that a client waits for the answer to its request, as specified by the
 // platform.
-const clientTimeout = 0.4
+const ClientTimeout = 0.4
 
 // ResumeAfterStall records that the process continues after a stall of the given length. All pushes pause for
 // pauseAfterStall, so that events that arrived during the stall are applied first. Requests read during the pause may have
-// waited in their sockets for the length of the stall, up to clientTimeout, so that much is taken off their TTL. Requests
+// waited in their sockets for the length of the stall, up to ClientTimeout, so that much is taken off their TTL. Requests
 // that have only just arrived lose that time as well.
 func (g *Gateway) ResumeAfterStall(now, stall float64) {
 	g.PausePushes(now + pauseAfterStall)
-	g.socketDelay, g.socketDelayUntil = min(stall, clientTimeout), now+pauseAfterStall
+	g.socketDelay, g.socketDelayUntil = min(stall, ClientTimeout), now+pauseAfterStall
 }
 
 // noPushBefore returns the time before which no push may start.
--- a/intake/client_io.go
+++ b/intake/client_io.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"orchiddrift/gateway"
 	"orchiddrift/invariant"
 	"orchiddrift/permit"
 	"orchiddrift/syserr"
@@ -112,8 +113,8 @@
 	return c.SetReadDeadline(time.Now().Add(clientPatience)) == nil
 }
 
-// clientPatience is how long clients wait for an answer, as specified by the platform.
-const clientPatience = 400 * time.Millisecond
+// clientPatience is gateway.ClientTimeout.
+const clientPatience time.Duration = gateway.ClientTimeout * 1e9
 
 // acceptBytes records bytes that were read and returns how many of them may be used. If the connection is closed for reading,
 // it returns 0 and reports an invariant violation if there are any.
--- a/intake/failing_calls_test.go
+++ b/intake/failing_calls_test.go
@@ -53,6 +53,15 @@
 	return &limitListener{Listener: ln, maxConns: 2, open: map[*clientConn]bool{}, log: zerolog.Nop()}
 }
 
+// serveWith starts a server whose socket calls are those given.
+func serveWith(t *testing.T, calls sock.Calls) *testServer {
+	t.Helper()
+	ts := newTestServer(t)
+	ts.Listener = listenWith(t, calls).Listener
+	ts.serve()
+	return ts
+}
+
 // acceptWithRequest connects, accepts the connection, and returns it once a request stands in its socket.
 func acceptWithRequest(t *testing.T, l *limitListener) *clientConn {
 	t.Helper()
@@ -106,13 +115,7 @@
 func TestResponseWholeAfterFailedWrites(t *testing.T) {
 	calls := &failingWrites{}
 	calls.left.Store(5)
-	ts := newTestServer(t)
-	ln, err := sock.Listen("127.0.0.1:0", calls)
-	if err != nil {
-		t.Fatal(err)
-	}
-	ts.Listener = ln
-	ts.serve()
+	ts := serveWith(t, calls)
 	conn := ts.dial(t)
 	for range 2 {
 		fmt.Fprint(conn, validRequest)
@@ -175,13 +178,7 @@
 	calls := &failingCalls{}
 	calls.peek.Store(true)
 	calls.shutdowns.Store(3)
-	looks := newTestServer(t)
-	ln, err := sock.Listen("127.0.0.1:0", calls)
-	if err != nil {
-		t.Fatal(err)
-	}
-	looks.Listener = ln
-	looks.serve()
+	looks := serveWith(t, calls)
 	start := time.Now()
 	for name, conn := range map[string]net.Conn{"accepts": accepts.dial(t), "looks and shutdowns": looks.dial(t)} {
 		_ = conn.SetDeadline(start.Add(5 * time.Second))
@@ -196,13 +193,7 @@
 func TestShutdownTriedAgain(t *testing.T) {
 	calls := &failingCalls{}
 	calls.shutdowns.Store(2)
-	ts := newTestServer(t)
-	ln, err := sock.Listen("127.0.0.1:0", calls)
-	if err != nil {
-		t.Fatal(err)
-	}
-	ts.Listener = ln
-	ts.serve()
+	ts := serveWith(t, calls)
 	conn := ts.dial(t)
 	fmt.Fprint(conn, strings.Replace(validRequest, "Host: a", "Host: a\r\nConnection: close", 1))
 	readResponse(t, conn)
