--- a/decide/slowstart_test.go
+++ b/decide/slowstart_test.go
@@ -59,7 +59,7 @@
 			defer func() { <-semaphore }()
 			arrivals := simulateFleet(f, firstSeed+uint64(i))
 			calls, allowed, at := worstSpan(f, arrivals)
-			result := scenarioResult{fleetScenario: f, calls: calls, allowed: allowed + chanceMargin(allowed), spanStart: at}
+			result := scenarioResult{fleetScenario: f, calls: calls, allowed: allowed + f.margin(allowed), spanStart: at}
 			for _, a := range arrivals {
 				if a.sawOutage && a.at < f.returnsAt()+earlySpan {
 					result.budgetUsed++
@@ -84,7 +84,7 @@
 
 // The bound of TestColdSizes also holds where the destination refuses connections during the outage.
 func TestColdRefusing(t *testing.T) {
-	checkOverloadRate(t, []int{45, 220}, func(f *fleetScenario) { f.refusesConnections = true })
+	checkOverloadRate(t, []int{45, 220}, func(f *fleetScenario) { f.failure = refuses })
 }
 
 // checkOverloadRate runs all scenarios, modified by modify, for several numbers of dispatchers. It fails the test if the
