Log: what a dispatcher knows of a destination, each failure taken or dropped, each push meanwhile

decide reports a HealthEvent for each failed or refused push (which rule took or dropped it) and for each change between healthy, suspected, ejected and slow start, with its reason; gateway logs them (failure seen, health changed) and, for each call to a destination that is not healthy, a line with the state, the failures since the last delivery, this dispatcher's part of the budget and what of it is used. Counters: health_changes, failures_seen, recovery_calls. recordFailure's last condition is parted by reason.

--- a/decide/health.go
+++ b/decide/health.go
@@ -57,8 +57,13 @@
 	t.lastDeliveredSend, t.lastDelivery = max(t.lastDeliveredSend, c.startedAt), now
 	t.sendOutcomes = appendLast(t.sendOutcomes, sample{c.startedAt, 0}, maxSendOutcomes)
 	s.classifyFirstFailure(t, false)
-	if t.inOutage() {
-		t.respondingSince, t.firstAnswer = s.estimateReturn(now, t), now
+	outage, previous := t.inOutage(), t.health()
+	t.failuresInRow = 0
+	if previous == Suspected {
+		s.reportHealth(t, HealthEvent{Previous: previous, Reason: ReasonDelivered})
+	}
+	if outage {
+		s.beginSlowStart(t, s.estimateReturn(now, t), now, ReasonDelivered)
 		t.lastRefusal, t.refusalSamples, ep.maxCalls = -never, nil, never // refusals during an outage say nothing about a limit
 		s.outages = slices.DeleteFunc(s.outages, func(x *throttle) bool { return x == t })
 	}
@@ -70,7 +75,9 @@
 	ep.lastAnswer, ep.preference = now, -s.rng.float()
 	// The endpoint accepts no more connections, whichever dispatchers hold them. That says nothing about a limit of the
 	// destination.
+	t.failuresInRow++
 	if outcome.TooManyConnections {
+		s.reportOutcome(c, outcome.Result, ReasonConnectionLimit, true)
 		s.connectionsScarceUntil[ep.kind] = now + s.policy.IdleTimeout
 		ep.setAsideUntil = now + defaultRefusalWait*(1+s.rng.float())
 		return
@@ -94,8 +101,13 @@
 	// an outage. An outage that is reported as an exhausted limit is thus detected one refusal later.
 	limitExhausted := !s.routes.SeparateKinds[ep.kind] && outcome.LimitReported && outcome.LimitLeft <= ampleLimitLeft &&
 		t.consecutiveRefusals <= maxLimitRefusals
+	reason := ReasonRefusal
+	if limitExhausted {
+		reason = ReasonLimitExhausted
+	}
+	s.reportOutcome(c, outcome.Result, reason, limitExhausted)
 	if !limitExhausted && now+wait-t.refusedSince > refusalOutageAfter || unlikelyLimit && t.refusedSince < now {
-		s.eject(now, t)
+		s.eject(now, t, ReasonRefusedLong)
 	}
 }
 
@@ -106,7 +118,9 @@
 	if outcome.Result == NotConnected || outcome.Result == Reset {
 		s.connectionsScarceUntil[ep.kind] = now + s.policy.IdleTimeout
 	}
+	t.failuresInRow++
 	if h.timeoutCut && outcome.Result == TimedOut { // a timeout cut short by the TTL says nothing about the endpoint
+		s.reportOutcome(c, outcome.Result, ReasonTimeoutCut, true)
 		return
 	}
 	if outcome.Result == Failed || outcome.Result == TimedOut {
@@ -123,19 +137,23 @@
 		ep.firstFailure = now
 	}
 	if outcome.Result == Reset && now-ep.firstFailure < unusualSilenceGaps*smoothedMean(ep.answerGaps, 0) {
+		s.reportOutcome(c, outcome.Result, ReasonSingleReset, true)
 		return
 	}
 	if c.failureCounted { // the notifications of a call share one failure
+		s.reportOutcome(c, outcome.Result, ReasonSharedCall, true)
 		return
 	}
 	c.failureCounted = true
 	t.sendOutcomes = appendLast(t.sendOutcomes, sample{c.startedAt, 1}, maxSendOutcomes)
 	if c.startedAt < t.lastDeliveredSend { // a push that started later was delivered, so this failure shows no present outage
+		s.reportOutcome(c, outcome.Result, ReasonLaterDelivered, true)
 		if resumedAt, found := t.outageEnd(c.startedAt); found && outcome.Result != Failed && !t.recovering {
-			t.recovering, t.respondingSince, t.firstAnswer = true, resumedAt, resumedAt
+			s.beginSlowStart(t, resumedAt, resumedAt, ReasonShortOutage)
 		}
 		return
 	}
+	s.reportOutcome(c, outcome.Result, ReasonFailure, false)
 	t.outcomes = appendLast(t.outcomes, sample{now, 1}, maxPushSamples)
 	t.lastFailure, t.lastFailureDuration = now, now-c.startedAt
 	if outcome.Result == Failed {
@@ -150,11 +168,14 @@
 	failedAgain := outcome.Result == NotConnected && ep.firstFailure > ep.lastAnswer && ep.firstFailure < now
 	// noDelivery: nothing was delivered while the push was in flight.
 	switch noDelivery := t.lastDelivery < c.startedAt; {
-	case noDelivery && (failuresOfLastTwo == 2 || failedAgain || s.routes.SeparateKinds[ep.kind] ||
-		s.rng.float() < s.outageProbability(now, c, h, outcome)):
-		s.eject(now, t)
-	case failures >= 2 && 2*failures >= len(recentOutcomes) && !t.inOutage(): // at least half of the latest pushes failed
-		t.recovering, t.respondingSince, t.firstAnswer = true, now, now
+	case noDelivery && (failuresOfLastTwo == 2 || failedAgain):
+		s.eject(now, t, ReasonTwoFailures)
+	case noDelivery && s.routes.SeparateKinds[ep.kind]:
+		s.eject(now, t, ReasonSeparateRoute)
+	case noDelivery && s.rng.float() < s.outageProbability(now, c, h, outcome):
+		s.eject(now, t, ReasonLikelyOutage)
+	case failures >= 2 && 2*failures >= len(recentOutcomes) && !t.inOutage():
+		s.beginSlowStart(t, now, now, ReasonHalfFailed)
 	}
 }
 
@@ -227,12 +248,16 @@
 }
 
 // eject records that an outage of the destination or separate route was detected.
-func (s *Scheduler) eject(now float64, t *throttle) {
+func (s *Scheduler) eject(now float64, t *throttle, reason HealthReason) {
+	previous := t.health()
 	if !t.inOutage() {
 		t.lastTrial, t.outageSince, t.jitter = now, now, s.rng.float()
 		s.outages = append(s.outages, t)
 	}
 	t.recovering, t.respondingSince = true, never
+	if previous != Ejected {
+		s.reportHealth(t, HealthEvent{Previous: previous, Reason: reason})
+	}
 }
 
 // unusuallySilent reports whether the silence of an endpoint with calls in flight is unusual for its answer gaps and latencies
--- a/decide/slowstart.go
+++ b/decide/slowstart.go
@@ -25,7 +25,11 @@
 // the destination can take if it recovers: now if it does not, never if that takes an outcome first. During the outage one
 // push is sent at a time, and jitter spreads the trials of the dispatchers.
 func (s *Scheduler) recoveryStart(now float64, dest *destination, entry directory.Endpoint, t *throttle) float64 {
-	if t.recovering = s.stillRecovering(now, t); !t.recovering {
+	if t.recovering && !s.stillRecovering(now, t) {
+		t.recovering = false
+		s.reportHealth(t, HealthEvent{Previous: SlowStart, Reason: ReasonWarm})
+	}
+	if !t.recovering {
 		return now
 	}
 	if t.respondingSince == never {
@@ -38,8 +42,12 @@
 		}
 		return max(s.nextTrialAt(dest, entry, t), max(t.lastTrial, t.blockedUntil)+pause)
 	}
-	rate := usedBudgetShare * s.recovery.OverloadFactor * s.capacityShare(now, t) * s.cappedDemand(now, dest, entry, t)
-	return s.windowStart(now, t, rate, s.recovery.OverloadSpan)
+	return s.windowStart(now, t, s.recoveryRate(now, dest, entry, t), s.recovery.OverloadSpan)
+}
+
+// recoveryRate returns how many calls per second this dispatcher may send to a destination in slow start.
+func (s *Scheduler) recoveryRate(now float64, dest *destination, entry directory.Endpoint, t *throttle) float64 {
+	return usedBudgetShare * s.recovery.OverloadFactor * s.capacityShare(now, t) * s.cappedDemand(now, dest, entry, t)
 }
 
 // stillRecovering reports whether a destination is in an outage or in slow start after it. Slow start lasts for
@@ -58,11 +66,19 @@
 		t := s.throttle(entry)
 		budget := s.recovery.OverloadFactor * s.recovery.InitialCapacityShare * s.destinationRate(entry, t) * s.recovery.OverloadSpan
 		if !t.recovering && !s.routes.SeparateKinds[entry.Kind] && s.evenShare(budget) >= 1 {
-			t.recovering, t.respondingSince, t.firstAnswer = true, now, now
+			s.beginSlowStart(t, now, now, ReasonRestoredFailed)
 		}
 	}
 }
 
+// beginSlowStart limits a destination to this dispatcher's part of the recovery budget until WarmUp after firstAnswer. Its
+// capacity is assumed to grow from respondingSince on.
+func (s *Scheduler) beginSlowStart(t *throttle, respondingSince, firstAnswer float64, reason HealthReason) {
+	previous := t.health()
+	t.recovering, t.respondingSince, t.firstAnswer = true, respondingSince, firstAnswer
+	s.reportHealth(t, HealthEvent{Previous: previous, Reason: reason})
+}
+
 // cappedDemand returns demandShare, or the even share where more arrived than random variation explains: then all
 // dispatchers together ask for more than the destination can take.
 func (s *Scheduler) cappedDemand(now float64, dest *destination, entry directory.Endpoint, t *throttle) float64 {
--- a/decide/state.go
+++ b/decide/state.go
@@ -45,6 +45,7 @@
 	takenCount             int                                 // number of notifications taken
 	idleEndpoints          []idleEndpoint                      // endpoints that may have idle connections, longest idle first
 	connectionsScarceUntil map[string]float64                  // by kind: idle connections are closed early until then
+	observeHealth          func(HealthEvent)                   // nil for none
 }
 
 // heldNotification is a notification that has been taken and not yet released. Times are in seconds.
@@ -134,6 +135,8 @@
 // throttle holds the limits and measurements of a destination, or of one endpoint that is a separate route. Times are in
 // seconds.
 type throttle struct {
+	id                  throttleID
+	failuresInRow       int       // failed and refused pushes since the last delivery
 	inFlight            int       // calls in flight
 	blockedUntil        float64   // no push starts before
 	allowance           float64   // calls that may start until a new report; never for no bound
@@ -163,6 +166,19 @@
 // inOutage reports whether an outage was detected and nothing has been delivered since.
 func (t *throttle) inOutage() bool { return t.recovering && t.respondingSince == never }
 
+// health returns the state that decisions assume.
+func (t *throttle) health() HealthState {
+	switch {
+	case t.inOutage():
+		return Ejected
+	case t.recovering:
+		return SlowStart
+	case t.failuresInRow > 0:
+		return Suspected
+	}
+	return Healthy
+}
+
 // firstFailureCounts counts how many first failures turned out to be part of an outage, and how many were isolated.
 type firstFailureCounts struct{ outages, isolated float64 }
 
@@ -279,7 +295,7 @@
 	}
 	t := s.throttles[id]
 	if t == nil {
-		t = &throttle{allowance: never, refusedSince: never, lastRefusal: -never, respondingSince: never}
+		t = &throttle{id: id, allowance: never, refusedSince: never, lastRefusal: -never, respondingSince: never}
 		s.throttles[id] = t
 	}
 	return t
--- a/decide/types.go
+++ b/decide/types.go
@@ -63,6 +63,12 @@
 	PeerMessage         // not a push: a message from another dispatcher
 )
 
+// String returns the name of the result in logs.
+func (r Result) String() string {
+	return [...]string{"delivered", "failed", "throttled", "timed out", "not connected", "reset", "cancelled", "not attempted",
+		"withdrawn", "peer message"}[r]
+}
+
 // Outcome is the input of Scheduler.HandleOutcome. NotificationID is empty for the result of a probe, for a message from
 // another dispatcher, and for a Wait that Endpoint of Dest told after its push had ended.
 type Outcome struct {
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -156,7 +156,7 @@
 	if calls, span, ok := g.scheduler.RecoveryBudget(now, c.Endpoint); ok {
 		g.checker.CheckRecovery(now, c.Messages[0].ID, t.String(), calls, span)
 	}
-	effect := SendCall{Call: c}
+	effect := SendCall{Call: c, Health: g.scheduler.RecoveryStatus(now, c.Endpoint)}
 	for _, m := range c.Messages {
 		g.checker.CheckSend(now, m.ID, invariant.Target{Throttle: t.String(), Endpoint: c.Endpoint.ID})
 		effect.Records = append(effect.Records, ledger.Record{Kind: ledger.CallStarted, ID: m.ID, StartedAt: now,
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"orchiddrift/decide"
 	"orchiddrift/directory"
 	"orchiddrift/ledger"
 	"orchiddrift/message"
@@ -122,7 +123,8 @@
 type SendCall struct {
 	Call    *Call
 	Records []ledger.Record
-	Repeats []Repeat // messages in the call with an earlier push that may have run
+	Repeats []Repeat              // messages in the call with an earlier push that may have run
+	Health  decide.RecoveryStatus // of the destination or route, as the call was prepared
 }
 
 // Repeat describes, for the log, a message with an earlier push that may have run.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,7 @@
 	// Requests read until socketDelayUntil, shortly after a stall, may have waited in their sockets for up to socketDelay.
 	socketDelay, socketDelayUntil float64
 	effects                       []Effect               // not returned to the caller yet
+	healthEvents                  []decide.HealthEvent   // of the scheduler, not returned to the caller yet
 	checker                       *invariant.SendChecker // nil if sends are not checked
 }
 
@@ -66,9 +67,11 @@
 // many messages may share a call. dialTimeout limits the time to establish a connection.
 func New(scheduler *decide.Scheduler, dir *directory.Directory, hasRoom func(int) bool, separateRoutes map[string]bool,
 	batchSize map[string]int, dialTimeout float64) *Gateway {
-	return &Gateway{scheduler: scheduler, directory: dir, hasRoom: hasRoom, separateRoutes: separateRoutes, batchSize: batchSize,
+	g := &Gateway{scheduler: scheduler, directory: dir, hasRoom: hasRoom, separateRoutes: separateRoutes, batchSize: batchSize,
 		dialTimeout: dialTimeout, pending: map[string]*pendingMessage{}, idleConns: map[string][]*push.Conn{},
 		lastToldWait: map[throttleKey]float64{}, settled: map[string]float64{}}
+	scheduler.SetHealthObserver(func(event decide.HealthEvent) { g.healthEvents = append(g.healthEvents, event) })
+	return g
 }
 
 // SetSendChecker sets the checker that verifies each send. It is informed of the events that Step applies.
@@ -342,3 +345,11 @@
 	g.effects = nil
 	return effects
 }
+
+// TakeHealthEvents returns, for logs and metrics, what the scheduler reported since the last call: changes of what it assumes
+// about destinations and routes, and what it made of failed pushes.
+func (g *Gateway) TakeHealthEvents() []decide.HealthEvent {
+	events := g.healthEvents
+	g.healthEvents = nil
+	return events
+}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rs/zerolog"
 
+	"orchiddrift/decide"
 	"orchiddrift/ledger"
 	"orchiddrift/message"
 	"orchiddrift/push"
@@ -74,6 +75,37 @@
 	}
 }
 
+// logHealth logs and counts what the scheduler has reported about destinations and routes.
+func (r *Runner) logHealth() {
+	for _, event := range r.Gateway.TakeHealthEvents() {
+		line := r.Log.Info().Str("dest", event.Dest).Str("state", string(event.State)).Str("why", string(event.Reason))
+		if event.Endpoint != "" {
+			line = line.Str("endpoint", event.Endpoint)
+		}
+		if event.Result == decide.Delivered {
+			line.Str("before", string(event.Previous)).Msg("health changed")
+			r.Metrics.healthChanged(event.State)
+			continue
+		}
+		line.Stringer("end", event.Result).Float64("sent_at", event.SentAt).Bool("dropped", event.Dropped).Msg("failure seen")
+		r.Metrics.failureSeen(event.Reason)
+	}
+}
+
+// logPushInRecovery logs each message of a call to a destination or route that is not healthy, with the limits that let the
+// call go.
+func (r *Runner) logPushInRecovery(e SendCall) {
+	if e.Health.State == decide.Healthy {
+		return
+	}
+	for _, m := range e.Call.Messages {
+		withCallFields(r.Log.Info(), e.Call, m, push.CallResult{}).Str("state", string(e.Health.State)).Int("failures", e.Health.Failures).
+			Float64("part", e.Health.Part).Float64("sent", e.Health.Sent).Float64("span", e.Health.Span).
+			Float64("at", e.Call.sentAt).Msg("push to a recovering destination")
+	}
+	r.Metrics.recoveryPushSent(e.Health.State)
+}
+
 // logEvent logs an event for operators, and counts the ends of pushes in the metrics.
 func (r *Runner) logEvent(e Event) {
 	switch e := e.(type) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"orchiddrift/decide"
 	"orchiddrift/ledger"
 	"orchiddrift/push"
 )
@@ -82,3 +83,18 @@
 
 // ledgerWriteFailed counts a failed write of the ledger.
 func (m *Metrics) ledgerWriteFailed() { m.count("ledger_write_errors", "", "") }
+
+// healthChanged counts a change of what the scheduler assumes about a destination or route, by the new state.
+func (m *Metrics) healthChanged(state decide.HealthState) {
+	m.count("health_changes", "state", string(state))
+}
+
+// failureSeen counts a failed or refused push by what the scheduler made of it.
+func (m *Metrics) failureSeen(reason decide.HealthReason) {
+	m.count("failures_seen", "why", string(reason))
+}
+
+// recoveryPushSent counts a call to a destination or route that is not healthy, by its state.
+func (m *Metrics) recoveryPushSent(state decide.HealthState) {
+	m.count("recovery_calls", "state", string(state))
+}
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -25,6 +25,7 @@
 // flush carries out the queued effects in order, in groups whose records are written first. No reply and no call is sent
 // before its records are in the ledger.
 func (r *Runner) flush() {
+	r.logHealth()
 	r.retryDeferred()
 	failedAccepts := map[string]float64{} // ends of the TTLs, by ID, of messages that could not be accepted
 	for len(r.effects) > 0 {
@@ -232,6 +233,7 @@
 	} else if r.Gateway.MaySend(r.Clock(), e.Call) {
 		r.traceCall(e.Call, "sending push", push.CallResult{})
 		r.logRepeats(e)
+		r.logPushInRecovery(e)
 		go r.performCall(e.Call)
 		return
 	}
