Laboratory: how near each return came to a fall, the timeline of a fall, restarts forget nothing

Where it falls, the report lists each call of the span with its dispatcher, what that had met, and from its log the state and limits that let the call go.

The rule forgot at a restart what a dispatcher had been told: a process that started since counted as one that had seen nothing. Example_overload held the exception (started since: kept); it now expects the violation, which is stricter. The rule moves to a file of its own.

--- a/lab/behaviour/strain.go
+++ b/lab/behaviour/strain.go
@@ -17,8 +17,13 @@
 	for len(d.calls) > 0 && d.calls[0] <= now-d.Span {
 		d.calls = d.calls[1:]
 	}
+	return float64(len(d.calls)) > d.Allowed(now)
+}
+
+// Allowed returns how many calls the destination can take in the window that ends now.
+func (d *OverloadDetector) Allowed(now float64) float64 {
 	const middle = 0.5 // share of the window; the capacity grows during it, and its value at the middle is taken as the average
-	return float64(len(d.calls)) > invariant.RecoveryBudget(d.OverloadFactor*d.Capacity(now-middle*d.Span)*d.Span)
+	return invariant.RecoveryBudget(d.OverloadFactor * d.Capacity(now-middle*d.Span) * d.Span)
 }
 
 // RecentCalls returns the times of the calls in the window.
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -116,7 +116,10 @@
 func (f *Fleet) configPath(i int) string { return filepath.Join(f.dir, fmt.Sprintf("d%d.json", i)) }
 
 // LogPath returns the path of a dispatcher's log.
-func (f *Fleet) LogPath(i int) string { return filepath.Join(f.dir, fmt.Sprintf("d%d.log", i)) }
+func (f *Fleet) LogPath(i int) string { return filepath.Join(f.dir, LogName(i)) }
+
+// LogName returns the file name of a dispatcher's log.
+func LogName(i int) string { return fmt.Sprintf("d%d.log", i) }
 
 // start launches a dispatcher and waits until it is ready.
 func (f *Fleet) start(ctx context.Context, p *process) error {
--- a/lab/lab.go
+++ b/lab/lab.go
@@ -143,7 +143,8 @@
 		result = report.New(report.RunData{World: world, Journal: journal, EndedAt: endedAt, HandedIn: clients.Submitted(), Planned: clients.Planned(),
 			Lateness: clients.Lateness(), Usage: usage})
 		if !options.Direct {
-			result.Violations, result.ExcusedEnds = rules.CheckCounting(world, journal, endedAt)
+			verdict := rules.CheckAll(world, journal, endedAt)
+			result.Violations, result.ExcusedEnds, result.Recoveries = verdict.Violations, verdict.ExcusedEnds, verdict.Recoveries
 		}
 	})
 	result.Direct, result.Interrupted = options.Direct, ctx.Err() != nil
@@ -151,6 +152,7 @@
 		result.VoidReason = fmt.Sprintf("load generator was late by %.0f ms at p99, more than the %.0f ms allowed: lower load.rate or free CPU cores",
 			lateness*1e3, s.Load.MaxLateness*1e3)
 	}
+	result.Overloads = explainOverloads(dir, result.Violations)
 	if options.KeepDir != "" {
 		err = writeJournal(journal, filepath.Join(dir, "journal.jsonl"))
 	}
--- a/lab/report/result.go
+++ b/lab/report/result.go
@@ -37,6 +37,8 @@
 	Series      Series            `json:"series"`
 	Bands       []Band            `json:"troubles"`
 	Violations  []rules.Violation `json:"violations"`
+	Recoveries  []rules.Recovery  `json:"recoveries,omitempty"`   // one for each return of a destination from an outage
+	Overloads   []string          `json:"overloads,omitempty"`    // timelines of the overloads in Violations
 	ExcusedEnds map[string]int    `json:"excused_ends,omitempty"` // connections that ended unanswered for a reason that is allowed
 }
 
--- a/lab/report/text.go
+++ b/lab/report/text.go
@@ -84,6 +84,10 @@
 	for _, reason := range slices.Sorted(maps.Keys(r.ExcusedEnds)) {
 		row("unanswered", "%d allowed: %s", r.ExcusedEnds[reason], reason)
 	}
+	if worst, ok := r.worstRecovery(); ok {
+		row("returns", "%d; worst span %.2f of what is allowed: destination %d, back at %.3f, %d calls until %.3f, %d from dispatchers that had seen the outage",
+			len(r.Recoveries), worst.Use(), worst.Dest, worst.ReturnedAt, worst.Calls, worst.At, worst.Aware)
+	}
 	count := map[string]int{}
 	for _, v := range r.Violations {
 		count[v.Rule]++
@@ -102,6 +106,19 @@
 			}
 		}
 	}
+	for _, line := range r.Overloads {
+		row("overload", "%s", line)
+	}
+}
+
+// worstRecovery returns the recovery that came nearest to an overload, and whether there was a return from an outage.
+func (r *Result) worstRecovery() (worst rules.Recovery, ok bool) {
+	for i, recovery := range r.Recoveries {
+		if i == 0 || recovery.Use() > worst.Use() {
+			worst, ok = recovery, true
+		}
+	}
+	return worst, ok
 }
 
 // formatSeconds formats a duration in seconds with a unit that fits its size.
--- a/lab/rules/rules.go
+++ b/lab/rules/rules.go
@@ -61,6 +61,8 @@
 	ID         string  `json:"id,omitempty"`
 	Endpoint   string  `json:"endpoint,omitempty"`
 	Evidence   string  `json:"evidence"`
+
+	Span []SpanCall `json:"span,omitempty"` // of an Overload: the calls that caused it
 }
 
 // String returns the violation as one line of a report.
@@ -85,28 +87,36 @@
 
 // checker checks one run.
 type checker struct {
-	world      *scenario.World
-	journal    *record.Journal
-	endedAt    float64 // when the run ended
-	topics     map[string]scenario.Topic
-	handIns    map[string]*record.HandIn
-	pushes     map[string][]push // by notification, in the order of their last bytes
-	notices    map[string]record.Notice
-	violations []Violation
-	excuses    map[string]int // requests whose connection ended unanswered for a reason that is allowed, by reason
+	world       *scenario.World
+	journal     *record.Journal
+	endedAt     float64 // when the run ended
+	topics      map[string]scenario.Topic
+	handIns     map[string]*record.HandIn
+	pushes      map[string][]push // by notification, in the order of their last bytes
+	notices     map[string]record.Notice
+	violations  []Violation
+	recoveries  []Recovery
+	outagesSeen map[outageKey]bool // results of sawOutage
+	excuses     map[string]int     // requests whose connection ended unanswered for a reason that is allowed, by reason
 }
 
 // Check returns the violations in a run that ended at the given time, ordered by rule, then by time. It sorts the calls of
 // the journal by their last byte.
 func Check(world *scenario.World, journal *record.Journal, end float64) []Violation {
-	violations, _ := CheckCounting(world, journal, end)
-	return violations
+	return CheckAll(world, journal, end).Violations
+}
+
+// Verdict is the result of checking a run.
+type Verdict struct {
+	Violations  []Violation
+	ExcusedEnds map[string]int // requests whose connection ended unanswered for a reason that is allowed, by reason
+	Recoveries  []Recovery     // one for each return of a destination from an outage
 }
 
-// CheckCounting is Check, and also counts the requests whose connection ended unanswered for a reason that is allowed, by reason.
-func CheckCounting(world *scenario.World, journal *record.Journal, end float64) ([]Violation, map[string]int) {
+// CheckAll is Check, and also returns what is allowed but worth a report.
+func CheckAll(world *scenario.World, journal *record.Journal, end float64) Verdict {
 	c := &checker{world: world, journal: journal, endedAt: end, topics: map[string]scenario.Topic{}, handIns: map[string]*record.HandIn{},
-		pushes: map[string][]push{}, notices: map[string]record.Notice{}, excuses: map[string]int{}}
+		pushes: map[string][]push{}, notices: map[string]record.Notice{}, excuses: map[string]int{}, outagesSeen: map[outageKey]bool{}}
 	for _, t := range world.Topics {
 		c.topics[t.Name] = t
 	}
@@ -144,7 +154,7 @@
 		return cmp.Or(cmp.Compare(slices.Index(All, a.Rule), slices.Index(All, b.Rule)), cmp.Compare(a.At, b.At),
 			strings.Compare(a.ID, b.ID))
 	})
-	return c.violations, c.excuses
+	return Verdict{c.violations, c.excuses, c.recoveries}
 }
 
 // report records a violation.
