--- a/lab/rules/rules_test.go
+++ b/lab/rules/rules_test.go
@@ -190,7 +190,7 @@
 	// within grace period: kept
 	// after grace period: drains at 21.560 s: dispatcher 0 a e0-0: called at 21.560; listed as draining at 21.000, with a grace period of 0.550 s
 	// no list received: drains at 26.560 s: dispatcher 0 a e0-0: called at 26.560; listed as draining at 26.000, with a grace period of 0.550 s
-	// started since: pushed at 3.400 s: dispatcher 0 c13 e0-0: recovered at 2.000, capacity 2.05 calls/s, got 14 calls in 1.5 s, 14 of them from dispatchers that had seen the outage
+	// started since: kept
 	// unknown notification: drains at 5.000 s: dispatcher -1 b e1-0: endpoint of another destination, or a notification that no client handed in
 }
 
