--- a/cmd/orchiddrift/soak.go
+++ b/cmd/orchiddrift/soak.go
@@ -96,6 +96,12 @@
 		overlaps.Add(result.Overlaps)
 		fmt.Fprintf(out, "seed %d: %d dispatchers, %d endpoints, crowded %v, %d troubles, %d misbehaving clients, %d accepted, %d delivered, %d findings\n",
 			seed, result.DispatcherCount, result.EndpointCount, result.HasFloods, len(result.Troubles), result.CheckedVisits, result.Totals.Accepted, result.Totals.Delivered, len(result.Findings))
+		for _, recovery := range result.Recoveries {
+			if recovery.Calls > 0 {
+				fmt.Fprintf(out, "   return of destination %d at %.3f: worst span %.2f of what is allowed (%d calls, %d aware)\n", recovery.Dest,
+					recovery.ReturnedAt, recovery.Use(), recovery.Calls, recovery.Aware)
+			}
+		}
 		for _, reason := range slices.Sorted(maps.Keys(result.ExcusedEnds)) {
 			fmt.Fprintf(out, "   ended unanswered, allowed: %d %s\n", result.ExcusedEnds[reason], reason)
 		}
@@ -116,6 +122,9 @@
 		for _, finding := range result.Findings {
 			fmt.Fprintln(out, "  ", finding)
 		}
+		for _, line := range result.Overloads {
+			fmt.Fprintln(out, "   overload:", line)
+		}
 		fmt.Fprintf(out, "   again: orchiddrift lab soak --seed %d --time %v --steps=%v --keep FOLDER --debug -v\n", seed, f.loadDuration, f.stepClocks)
 	}
 	if ctx.Err() != nil {
--- a/lab/soak/faulty_conn.go
+++ b/lab/soak/faulty_conn.go
@@ -66,7 +66,7 @@
 	if len(b) > 1 {
 		b = b[:1+c.randomBelow(len(b)-1)]
 	}
-	return c.TCPConn.Read(b)
+	return c.failingCallsConn.Read(b)
 }
 
 // breakIfIdle waits for a random time, breaks the connection if no data has arrived by then, and reports whether it did. A
