Invariant: a call over this dispatcher's part after a push failed there, whatever decide assumes

RecoveryChecker keeps its own memory of failures, deliveries and arrivals: from a failure or refusal on, until slow start is over, the calls in a span may not exceed this dispatcher's part of the budget, with the operators' tolerance. A failure between two deliveries sent within a span counts as none, and so does a refusal that tells its limit as used up.

--- a/decide/recovery.go
+++ b/decide/recovery.go
@@ -19,3 +19,16 @@
 	}
 	return s.recovery.OverloadFactor * s.capacityShare(now, t) * rate * s.recovery.OverloadSpan, s.recovery.OverloadSpan, true
 }
+
+// RecoveryTerms say what a destination or separate route can take, from all dispatchers together, as it returns from an outage.
+type RecoveryTerms struct {
+	ColdRate float64 // calls per second just after its return; 0 if its capacity is unknown
+	WarmRate float64 // calls per second once it is warm
+	Recovery         // the settings
+}
+
+// RecoveryTerms returns the terms of the destination, or separate route, of an endpoint.
+func (s *Scheduler) RecoveryTerms(entry directory.Endpoint) RecoveryTerms {
+	warm := s.recovery.OverloadFactor * s.destinationRate(entry, s.throttle(entry))
+	return RecoveryTerms{ColdRate: s.recovery.InitialCapacityShare * warm, WarmRate: warm, Recovery: s.recovery}
+}
--- a/dispatcher/process.go
+++ b/dispatcher/process.go
@@ -84,6 +84,7 @@
 	firstListBy := p.state.clock() + firstListTimeout.Seconds()
 	margins := invariant.Margins{DrainGrace: p.parts.drainGrace, KeyHold: p.parts.scheduler.KeyCooldown()}
 	r.Gateway.SetSendChecker(invariant.NewSendChecker(p.invariants, margins, firstListBy))
+	r.Gateway.SetRecoveryChecker(invariant.NewRecoveryChecker(p.invariants))
 	r.Gateway.AdvanceCallID(p.state.ledger.LastCallNumber())
 	r.Gateway.AwaitFirstList(firstListBy)
 	return r
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -153,6 +153,7 @@
 	g.lastCallID++
 	c.ID, c.Conn, c.sentAt = g.lastCallID, conn, now
 	t := g.throttleKeyOf(c.Endpoint)
+	g.recoveryChecker.CheckSend(now, c.Messages[0].ID, t.String(), c.Endpoint.Dest, g.recoveryTerms(c.Endpoint))
 	if calls, span, ok := g.scheduler.RecoveryBudget(now, c.Endpoint); ok {
 		g.checker.CheckRecovery(now, c.Messages[0].ID, t.String(), calls, span)
 	}
@@ -220,6 +221,7 @@
 		outcome.NotificationID, outcome.Endpoint, outcome.Latency, outcome.ToldWait = m.ID, c.Endpoint.ID, now-c.placedAt,
 			result.RetryAfter
 		outcome.LimitReported, outcome.LimitLeft, outcome.Limit = result.HasLoadReport, result.LoadShare, result.LoadLimit
+		g.checkOutcome(now, c, outcome)
 		g.execute(now, g.scheduler.HandleOutcome(now, outcome))
 		if outcome.Final {
 			g.remove(m.ID)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,9 +48,10 @@
 	pausedUntil    float64                    // no push starts before this time
 	// Requests read until socketDelayUntil, shortly after a stall, may have waited in their sockets for up to socketDelay.
 	socketDelay, socketDelayUntil float64
-	effects                       []Effect               // not returned to the caller yet
-	healthEvents                  []decide.HealthEvent   // of the scheduler, not returned to the caller yet
-	checker                       *invariant.SendChecker // nil if sends are not checked
+	effects                       []Effect                   // not returned to the caller yet
+	healthEvents                  []decide.HealthEvent       // of the scheduler, not returned to the caller yet
+	checker                       *invariant.SendChecker     // nil if sends are not checked
+	recoveryChecker               *invariant.RecoveryChecker // nil if they are not checked
 }
 
 // pendingMessage is an accepted message that is not settled yet.
@@ -77,6 +78,11 @@
 // SetSendChecker sets the checker that verifies each send. It is informed of the events that Step applies.
 func (g *Gateway) SetSendChecker(checker *invariant.SendChecker) { g.checker = checker }
 
+// SetRecoveryChecker sets the checker that verifies the calls to destinations at which pushes failed.
+func (g *Gateway) SetRecoveryChecker(checker *invariant.RecoveryChecker) {
+	g.recoveryChecker = checker
+}
+
 // AdvanceCallID makes the numbers of later calls greater than last, so that no number in the ledger is used again.
 func (g *Gateway) AdvanceCallID(last uint64) { g.lastCallID = max(g.lastCallID, last) }
 
@@ -247,6 +253,7 @@
 	}
 	g.pending[m.ID] = &pendingMessage{message: m}
 	g.registerWithChecker(m)
+	g.recoveryChecker.Arrived(now, m.Dest)
 	g.emit(Accept{m, e.Respond})
 }
 
--- a/invariant/invariant.go
+++ b/invariant/invariant.go
@@ -30,6 +30,8 @@
 	SentDuringWait Name = "sent_during_told_wait"
 	// SentOverRecovery is a call above the budget of a destination or route that recovers from an outage.
 	SentOverRecovery Name = "sent_over_recovery_budget"
+	// SentOverPart is a call above this dispatcher's part of what a destination or route can take, after a push to it failed.
+	SentOverPart Name = "sent_over_part_of_recovery_budget"
 	// SentOutOfOrder is a push of a notification that is not the first of its key, or whose key is held for another one.
 	SentOutOfOrder Name = "sent_out_of_key_order"
 	// SentBeforeList is a push before the first response of discovery.
@@ -49,7 +51,7 @@
 )
 
 // All lists the invariants in the order of the metrics.
-var All = []Name{SentAfterFinal, SentWhileInFlight, SentOutsideWindow, SentToLeaving, SentDuringWait, SentOverRecovery,
+var All = []Name{SentAfterFinal, SentWhileInFlight, SentOutsideWindow, SentToLeaving, SentDuringWait, SentOverRecovery, SentOverPart,
 	SentOutOfOrder, SentBeforeList, ClosedUnanswered, ReadAfterClose, AnsweredTwice, ConfirmedUnwritten, EndedUnanswered, EndedUnwritten}
 
 // Counters counts and logs violations. The zero value counts them without logging; a nil Counters does neither. It is safe
--- a/invariant/invariant_test.go
+++ b/invariant/invariant_test.go
@@ -96,6 +96,72 @@
 	}
 }
 
+// A dispatcher of 34 that had one push fail may send some calls of its own part in a span, and no flood, also after a delivery
+// and after a failure in an earlier process; it is free again after slow start, and after a failure between deliveries within a span.
+func TestRecoveryChecker(t *testing.T) {
+	terms := RecoveryTerms{ColdRate: 2.2, WarmRate: 10, Span: 1.5, WarmUp: 12, Dispatchers: 34}
+	flood := func(r *RecoveryChecker, from float64) {
+		for i := range 6 {
+			r.CheckSend(from+float64(i)/10, "m", "A/", "A", terms)
+		}
+	}
+	for _, c := range []struct {
+		name      string
+		violation bool
+		do        func(r *RecoveryChecker)
+	}{
+		{"no failure", false, func(r *RecoveryChecker) { flood(r, 1) }},
+		{"one failure, few calls", false, func(r *RecoveryChecker) {
+			r.Failed(1, 0, "A/", terms)
+			for i := range 4 {
+				r.CheckSend(2+float64(i)/10, "m", "A/", "A", terms)
+			}
+		}},
+		{"one failure, a flood", true, func(r *RecoveryChecker) { r.Failed(1, 0, "A/", terms); flood(r, 2) }},
+		{"at another destination", false, func(r *RecoveryChecker) { r.Failed(1, 0, "B/", terms); flood(r, 2) }},
+		{"a failure, a delivery, a flood", true, func(r *RecoveryChecker) {
+			r.Failed(1, 0, "A/", terms)
+			r.Delivered(3, 2.9, "A/", terms)
+			flood(r, 4)
+		}},
+		{"after slow start", false, func(r *RecoveryChecker) {
+			r.Failed(1, 0, "A/", terms)
+			r.Delivered(3, 2.9, "A/", terms)
+			flood(r, 15.1)
+		}},
+		{"a failure between deliveries within a span", false, func(r *RecoveryChecker) {
+			r.Delivered(1, 0.9, "A/", terms)
+			r.Failed(1.5, 1.1, "A/", terms)
+			r.Delivered(2.3, 2.2, "A/", terms)
+			flood(r, 2.4)
+		}},
+		{"a late failure between deliveries farther apart", true, func(r *RecoveryChecker) {
+			r.Delivered(1, 0.9, "A/", terms)
+			r.Delivered(5.1, 5, "A/", terms)
+			r.Failed(5.5, 1.5, "A/", terms)
+			flood(r, 6)
+		}},
+		{"much of the traffic comes here", false, func(r *RecoveryChecker) {
+			for i := range 40 {
+				r.Arrived(float64(i)/10, "A")
+			}
+			r.Failed(4, 3, "A/", terms)
+			flood(r, 5)
+		}},
+	} {
+		counters := &Counters{}
+		c.do(NewRecoveryChecker(counters))
+		if violation := counters.Count(SentOverPart) > 0; violation != c.violation {
+			t.Errorf("%s: violation %v, want %v", c.name, violation, c.violation)
+		}
+	}
+	var none *RecoveryChecker
+	none.Arrived(1, "A")
+	none.Failed(1, 0, "A/", terms)
+	none.Delivered(1, 0, "A/", terms)
+	none.CheckSend(1, "m", "A/", "A", terms)
+}
+
 // Each case violates one invariant on replies, and only that one must be counted; the first case violates none.
 func TestReplyChecker(t *testing.T) {
 	for _, c := range []struct {
