Mend: after any failed or refused push, calls keep to this dispatcher's part until slow start is over

The bound held only where a dispatcher inferred an outage, by a chain of special cases; a time-out cut short by the TTL, an answered error, a single reset, a refusal, a failure between deliveries, a failed push of the process before each left it sending as to a healthy destination, and all that was held went at once.

recoveryBudget (decide/recovery_budget.go) does not ask whether there was an outage. From a failed or refused push on, pushes keep to this dispatcher's part of what a cold destination takes; a delivery begins slow start. The chain goes on to decide when a destination is ejected, so what the part is spent on. Free of it is only what shows no outage: a failure between two deliveries sent within an overload span, and a refusal that tells its limit as used up. A push that failed in the process before binds whatever the part is (only parts of a call or more did). The flags recovering, respondingSince and firstAnswer, outageEnd and slowStartAfterRestart go.

Tests that change, each stricter: Example_shortOutage expects slow start after a single failure before a delivery too, and Example_restartAfterOutage three and one at once in place of 7 and 25, as the rule binds whoever had one push fail. Example_topicAvoidance delivers once before it goes on, since a destination with an open failure is limited; its endpoints and topics are as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -122,7 +122,7 @@
 			s.staggerRestored(now, dest, h)
 		}
 		if ntf.LastPushFailed {
-			s.slowStartAfterRestart(now, ntf)
+			s.bindAfterRestart(now, ntf.Dest)
 		}
 		if ntf.FirstRunAt > 0 { // sent before a restart: it may still run
 			h.mayHaveRunAt, h.mayHaveRunZone, h.keyBlockedUntil = ntf.FirstRunAt,
@@ -412,7 +412,7 @@
 // the others; it costs latency where the failure was accidental and the other endpoints are slower.
 func (s *Scheduler) hasAlternative(now float64, h *heldNotification, listed []directory.Endpoint) bool {
 	for _, entry := range listed {
-		if s.eligible(h, entry) && s.endpoint(entry.ID).topics[h.Topic].avoidedUntil <= now && !s.throttle(entry).inOutage() {
+		if s.eligible(h, entry) && s.endpoint(entry.ID).topics[h.Topic].avoidedUntil <= now && !s.throttle(entry).ejected {
 			return true
 		}
 	}
@@ -455,7 +455,7 @@
 // while the destination recovers or the endpoint is unusually silent, and at least one.
 func (s *Scheduler) maxConcurrent(now float64, entry directory.Endpoint) int {
 	t := s.throttle(entry)
-	if t.recovering || s.unusuallySilent(now, s.endpoint(entry.ID)) {
+	if t.budget.bound() || s.unusuallySilent(now, s.endpoint(entry.ID)) {
 		return max(1, s.capacity.MaxCalls/2)
 	}
 	return max(1, s.capacity.MaxCalls*3/4)
@@ -509,12 +509,17 @@
 // windowStart returns when the next push may start if no window of span seconds may contain more pushes than rate, in pushes
 // per second, allows. If that is less than one push, the window is widened to allow one.
 func (s *Scheduler) windowStart(now float64, t *throttle, rate, span float64) float64 {
+	return s.windowStartSince(now, t, rate, span, -never)
+}
+
+// windowStartSince is windowStart for the pushes sent after since.
+func (s *Scheduler) windowStartSince(now float64, t *throttle, rate, span, since float64) float64 {
 	maxWeight := rate * span
 	if maxWeight < 1 {
 		span, maxWeight = span/max(maxWeight, 0.01), 1
 	}
 	used := 0.0
-	for i := len(t.sentPushes) - 1; i >= 0 && t.sentPushes[i].at > now-span; i-- {
+	for i := len(t.sentPushes) - 1; i >= 0 && t.sentPushes[i].at > now-span && t.sentPushes[i].at > since; i-- {
 		if used += t.sentPushes[i].value; used > maxWeight-1+1e-9 {
 			return t.sentPushes[i].at + span + 1e-6
 		}
@@ -528,7 +533,7 @@
 // the upper bound. Otherwise, unless it takes the last slot, a once-only push gets twice the timeout.
 func (s *Scheduler) pushTimeout(t *throttle, ep *endpoint, h *heldNotification) float64 {
 	objective := h.topic.Objective
-	if t.inOutage() {
+	if t.ejected {
 		return maxTimeoutObjectives * objective
 	}
 	if s.callsInFlight >= s.capacity.MaxCalls {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -526,9 +526,10 @@
 	h := newHarness(12, 60, "A", "Ab")
 	h.submit("reading", "A1", "A2")
 	h.runAt(0)
-	h.finish("A", failed, "A1")
 	h.finish("Ab", delivered, "A2")
+	h.finish("A", failed, "A1")
 	h.runAt(0.1)
+	h.finish("Ab", delivered, "A1") // the destination answers: the failure limits no pushes any more
 	h.submit("reading", "A3", "A4")
 	h.submit("tally", "A5", "A6")
 	h.runAt(0.2)
--- a/decide/health.go
+++ b/decide/health.go
@@ -29,7 +29,7 @@
 		t.limit, t.allowance = outcome.Limit, outcome.LimitLeft*outcome.Limit
 		if outcome.Limit == 0 && outcome.LimitLeft == 0 {
 			t.allowance = never
-		} else if outcome.Result == Delivered && !t.recovering {
+		} else if outcome.Result == Delivered && !t.budget.bound() {
 			s.recordUsage(t, outcome.LimitLeft)
 		}
 	}
@@ -57,13 +57,15 @@
 	t.lastDeliveredSend, t.lastDelivery = max(t.lastDeliveredSend, c.startedAt), now
 	t.sendOutcomes = appendLast(t.sendOutcomes, sample{c.startedAt, 0}, maxSendOutcomes)
 	s.classifyFirstFailure(t, false)
-	outage, previous := t.inOutage(), t.health()
+	previous := t.health()
 	t.failuresInRow = 0
-	if previous == Suspected {
+	if t.budget.pushDelivered(now, s.estimateReturn(now, t)); previous == Suspected && t.budget.shorterThan(s.recovery.OverloadSpan, c.startedAt) {
+		t.budget.release()
+	}
+	if t.ejected = false; previous == Suspected || previous == Ejected {
 		s.reportHealth(t, HealthEvent{Previous: previous, Reason: ReasonDelivered})
 	}
-	if outage {
-		s.beginSlowStart(t, s.estimateReturn(now, t), now, ReasonDelivered)
+	if previous == Ejected {
 		t.lastRefusal, t.refusalSamples, ep.maxCalls = -never, nil, never // refusals during an outage say nothing about a limit
 		s.outages = slices.DeleteFunc(s.outages, func(x *throttle) bool { return x == t })
 	}
@@ -105,6 +107,9 @@
 	if limitExhausted {
 		reason = ReasonLimitExhausted
 	}
+	if !limitExhausted {
+		t.budget.pushFailed(now, t.lastDeliveredSend)
+	}
 	s.reportOutcome(c, outcome.Result, reason, limitExhausted)
 	if !limitExhausted && now+wait-t.refusedSince > refusalOutageAfter || unlikelyLimit && t.refusedSince < now {
 		s.eject(now, t, ReasonRefusedLong)
@@ -118,7 +123,7 @@
 	if outcome.Result == NotConnected || outcome.Result == Reset {
 		s.connectionsScarceUntil[ep.kind] = now + s.policy.IdleTimeout
 	}
-	t.failuresInRow++
+	s.bindAfterFailure(now, c)
 	if h.timeoutCut && outcome.Result == TimedOut { // a timeout cut short by the TTL says nothing about the endpoint
 		s.reportOutcome(c, outcome.Result, ReasonTimeoutCut, true)
 		return
@@ -148,9 +153,6 @@
 	t.sendOutcomes = appendLast(t.sendOutcomes, sample{c.startedAt, 1}, maxSendOutcomes)
 	if c.startedAt < t.lastDeliveredSend { // a push that started later was delivered, so this failure shows no present outage
 		s.reportOutcome(c, outcome.Result, ReasonLaterDelivered, true)
-		if resumedAt, found := t.outageEnd(c.startedAt); found && outcome.Result != Failed && !t.recovering {
-			s.beginSlowStart(t, resumedAt, resumedAt, ReasonShortOutage)
-		}
 		return
 	}
 	s.reportOutcome(c, outcome.Result, ReasonFailure, false)
@@ -174,8 +176,9 @@
 		s.eject(now, t, ReasonSeparateRoute)
 	case noDelivery && s.rng.float() < s.outageProbability(now, c, h, outcome):
 		s.eject(now, t, ReasonLikelyOutage)
-	case failures >= 2 && 2*failures >= len(recentOutcomes) && !t.inOutage():
-		s.beginSlowStart(t, now, now, ReasonHalfFailed)
+	}
+	if failures >= 2 && 2*failures >= len(recentOutcomes) { // at least half of the latest pushes failed
+		t.budget.mostlyFailing = true
 	}
 }
 
@@ -225,39 +228,53 @@
 	t.firstFailure = Delivered
 }
 
-// outageEnd reports whether a failed push, sent at sentAt, was part of an outage that is already over: several pushes in a
-// row, by the time they were sent, failed before one that was delivered. It also returns when that one was sent. An outage
-// shorter than the timeouts is only found this way. A single failure among deliveries does not count.
-func (t *throttle) outageEnd(sentAt float64) (resumedAt float64, found bool) {
-	lastDeliveryBefore, firstDeliveryAfter, failures := -never, never, 0
-	for _, outcome := range t.sendOutcomes {
-		if outcome.value == 0 && outcome.at <= sentAt {
-			lastDeliveryBefore = max(lastDeliveryBefore, outcome.at)
-		} else if outcome.value == 0 {
-			firstDeliveryAfter = min(firstDeliveryAfter, outcome.at)
-		}
+// bindAfterFailure limits pushes to a destination after a failed push, whatever the failure says about an outage. One between
+// two deliveries that were sent within an overload span shows no outage that matters. One that was sent before a later delivery is
+// followed by slow start from that delivery on.
+func (s *Scheduler) bindAfterFailure(now float64, c *call) {
+	t := c.throttle
+	if c.failureCounted { // the notifications of a call share one failure
+		return
 	}
+	before, after := t.deliveriesAround(c.startedAt)
+	if after-before < s.recovery.OverloadSpan {
+		return
+	}
+	t.failuresInRow++
+	if after == never {
+		t.budget.pushFailed(now, before)
+	} else if !t.budget.bound() {
+		t.budget.pushFailed(after, before)
+		t.budget.pushDelivered(after, after)
+	}
+}
+
+// deliveriesAround returns when the latest delivered push at or before sentAt, and the first one after it, were sent.
+func (t *throttle) deliveriesAround(sentAt float64) (before, after float64) {
+	before, after = -never, never
 	for _, outcome := range t.sendOutcomes {
-		if outcome.value > 0 && outcome.at > lastDeliveryBefore && outcome.at < firstDeliveryAfter {
-			failures++
+		switch {
+		case outcome.value > 0:
+		case outcome.at <= sentAt:
+			before = max(before, outcome.at)
+		default:
+			after = min(after, outcome.at)
 		}
 	}
-	// Without a delivery before them, deliveries between the failures may have been discarded from the samples.
-	complete := lastDeliveryBefore > -never || len(t.sendOutcomes) < maxSendOutcomes
-	return firstDeliveryAfter, failures > 1 && firstDeliveryAfter < never && complete
+	return before, after
 }
 
 // eject records that an outage of the destination or separate route was detected.
 func (s *Scheduler) eject(now float64, t *throttle, reason HealthReason) {
-	previous := t.health()
-	if !t.inOutage() {
-		t.lastTrial, t.outageSince, t.jitter = now, now, s.rng.float()
-		s.outages = append(s.outages, t)
-	}
-	t.recovering, t.respondingSince = true, never
-	if previous != Ejected {
-		s.reportHealth(t, HealthEvent{Previous: previous, Reason: reason})
+	t.budget.pushFailed(now, t.lastDeliveredSend)
+	if t.ejected {
+		return
 	}
+	previous := t.health()
+	t.lastTrial, t.outageSince, t.jitter = now, now, s.rng.float()
+	s.outages = append(s.outages, t)
+	t.ejected = true
+	s.reportHealth(t, HealthEvent{Previous: previous, Reason: reason})
 }
 
 // unusuallySilent reports whether the silence of an endpoint with calls in flight is unusual for its answer gaps and latencies
--- a/decide/slowstart.go
+++ b/decide/slowstart.go
@@ -22,17 +22,15 @@
 )
 
 // recoveryStart returns when the next push to a destination may start, such that all dispatchers together send no more than
-// the destination can take if it recovers: now if it does not, never if that takes an outcome first. During the outage one
-// push is sent at a time, and jitter spreads the trials of the dispatchers.
+// the destination can take if it recovers: now if nothing limits it, never if that takes an outcome first. During a detected
+// outage one push is sent at a time, and jitter spreads the trials of the dispatchers. After a failure that shows no outage, and
+// in slow start, pushes keep to this dispatcher's part of the recovery budget.
 func (s *Scheduler) recoveryStart(now float64, dest *destination, entry directory.Endpoint, t *throttle) float64 {
-	if t.recovering && !s.stillRecovering(now, t) {
-		t.recovering = false
-		s.reportHealth(t, HealthEvent{Previous: SlowStart, Reason: ReasonWarm})
-	}
-	if !t.recovering {
+	s.endSlowStart(now, t)
+	if !t.budget.bound() {
 		return now
 	}
-	if t.respondingSince == never {
+	if t.ejected {
 		if t.inFlight > 0 || s.trialCalls() >= max(1, s.capacity.MaxCalls/trialSlotDivisor) {
 			return never
 		}
@@ -42,7 +40,7 @@
 		}
 		return max(s.nextTrialAt(dest, entry, t), max(t.lastTrial, t.blockedUntil)+pause)
 	}
-	return s.windowStart(now, t, s.recoveryRate(now, dest, entry, t), s.recovery.OverloadSpan)
+	return s.windowStartSince(now, t, s.recoveryRate(now, dest, entry, t), s.recovery.OverloadSpan, t.budget.boundSince)
 }
 
 // recoveryRate returns how many calls per second this dispatcher may send to a destination in slow start.
@@ -50,35 +48,29 @@
 	return usedBudgetShare * s.recovery.OverloadFactor * s.capacityShare(now, t) * s.cappedDemand(now, dest, entry, t)
 }
 
-// stillRecovering reports whether a destination is in an outage or in slow start after it. Slow start lasts for
-// Recovery.WarmUp from the first answer to this dispatcher. The destination may be warm earlier, but all notifications held
-// for it are sent at once when slow start ends.
-func (s *Scheduler) stillRecovering(now float64, t *throttle) bool {
-	return t.recovering && (t.inOutage() || t.firstAnswer+s.recovery.WarmUp >= now)
+// endSlowStart releases a destination whose slow start is over: Recovery.WarmUp after the first answer to this dispatcher. The
+// destination may be warm earlier, but all notifications held for it are sent at once when slow start ends.
+func (s *Scheduler) endSlowStart(now float64, t *throttle) {
+	if t.budget.bound() && t.budget.respondingSince != never && t.budget.firstAnswer+s.recovery.WarmUp < now {
+		t.budget.release()
+		s.reportHealth(t, HealthEvent{Previous: SlowStart, Reason: ReasonWarm})
+	}
 }
 
-// slowStartAfterRestart begins slow start for a destination to which a push of the previous process failed. It may be in an
-// outage or just back from one, and would otherwise get all restored notifications at once. This applies only where this
-// dispatcher's even share of the recovery budget is at least one call per overload span; with less, notifications that the
-// restart found untried would not be pushed in time.
-func (s *Scheduler) slowStartAfterRestart(now float64, ntf Notification) {
-	for _, entry := range s.dir.Endpoints(ntf.Dest) {
+// bindAfterRestart limits pushes to a destination to which a push of an earlier process failed. It may be in an outage or just back
+// from one.
+func (s *Scheduler) bindAfterRestart(now float64, destID string) {
+	for _, entry := range s.dir.Endpoints(destID) {
 		t := s.throttle(entry)
-		budget := s.recovery.OverloadFactor * s.recovery.InitialCapacityShare * s.destinationRate(entry, t) * s.recovery.OverloadSpan
-		if !t.recovering && !s.routes.SeparateKinds[entry.Kind] && s.evenShare(budget) >= 1 {
-			s.beginSlowStart(t, now, now, ReasonRestoredFailed)
+		if t.budget.bound() || s.routes.SeparateKinds[entry.Kind] {
+			continue
 		}
+		t.failuresInRow++
+		t.budget.pushFailed(now, -never)
+		s.reportHealth(t, HealthEvent{Previous: Healthy, Reason: ReasonRestoredFailed})
 	}
 }
 
-// beginSlowStart limits a destination to this dispatcher's part of the recovery budget until WarmUp after firstAnswer. Its
-// capacity is assumed to grow from respondingSince on.
-func (s *Scheduler) beginSlowStart(t *throttle, respondingSince, firstAnswer float64, reason HealthReason) {
-	previous := t.health()
-	t.recovering, t.respondingSince, t.firstAnswer = true, respondingSince, firstAnswer
-	s.reportHealth(t, HealthEvent{Previous: previous, Reason: reason})
-}
-
 // cappedDemand returns demandShare, or the even share where more arrived than random variation explains: then all
 // dispatchers together ask for more than the destination can take.
 func (s *Scheduler) cappedDemand(now float64, dest *destination, entry directory.Endpoint, t *throttle) float64 {
@@ -181,9 +173,9 @@
 	return max((max(t.lastFailure, t.lastRefusal)+now)/2, now-maxElapsedShare*s.recovery.WarmUp)
 }
 
-// capacityShare returns the share of its capacity that a destination in slow start has.
+// capacityShare returns the share of its capacity that a destination has: the initial one until it responds, then more and more.
 func (s *Scheduler) capacityShare(now float64, t *throttle) float64 {
-	return s.recovery.InitialCapacityShare + (1-s.recovery.InitialCapacityShare)*max(0, min(1, (now-t.respondingSince)/s.recovery.WarmUp))
+	return s.recovery.InitialCapacityShare + (1-s.recovery.InitialCapacityShare)*max(0, min(1, (now-t.budget.respondingSince)/s.recovery.WarmUp))
 }
 
 // demandShare returns this dispatcher's share of what a destination can take, in notifications per second: the rate of
--- a/decide/slowstart_test.go
+++ b/decide/slowstart_test.go
@@ -171,8 +171,8 @@
 
 // Guards against missing an outage shorter than the timeouts: when its pushes time out, later ones have been delivered, and
 // failures before a delivery were ignored. Of 65 calls in 1.5 s, 2 to 4 s after an outage of 3 s, 46 came from dispatchers with
-// such failures, and no recovery budget applied to them. Several failures in a row before a delivery are an outage; a single
-// one may be a lost call.
+// such failures, and no recovery budget applied to them. Slow start applies from the delivery on, also after a single failure: the
+// operators' rule binds whoever had one push fail during the outage.
 func Example_shortOutage() {
 	for _, failures := range []int{1, 2} {
 		h := newHarness(12, 60, "A")
@@ -193,7 +193,7 @@
 	// Output:
 	// 0.00  push A1 to A
 	// 1.00  push A3 to A
-	// 1 failed: 0.0 calls, slow start false
+	// 1 failed: 11.2 calls, slow start true
 	// 0.00  push A1 to A
 	// 0.50  push A2 to A
 	// 1.00  push A3 to A
@@ -253,9 +253,8 @@
 
 // Guards against a process that starts during an outage, or just after it, and pushes everything restored from its ledger at
 // once. The destination was overloaded and refused 213 calls, and the benefit fell from 0.97 to between 0.84 and 0.86 (3 of
-// 13 runs of the laboratory's cold-restart). Slow start begins if the ledger records failed pushes and the dispatcher's share
-// of the recovery budget is at least one call. With hundreds of dispatchers it is less, and slow start would delay untried
-// notifications.
+// 13 runs of the laboratory's cold-restart). Pushes are limited to this dispatcher's part of the recovery
+// budget if the ledger records a failed one, however small that part is.
 func Example_restartAfterOutage() {
 	for _, dispatchers := range []int{2, 200} {
 		for _, failedBefore := range []bool{false, true} {
@@ -271,9 +270,9 @@
 	}
 	// Output:
 	// 2 dispatchers, last push failed false: 25 at once
-	// 2 dispatchers, last push failed true: 7 at once
+	// 2 dispatchers, last push failed true: 3 at once
 	// 200 dispatchers, last push failed false: 25 at once
-	// 200 dispatchers, last push failed true: 25 at once
+	// 200 dispatchers, last push failed true: 1 at once
 }
 
 // Guards against counting a reset connection and an immediate refusal of the next one as a single failure. Resets alone do not
--- a/decide/state.go
+++ b/decide/state.go
@@ -149,34 +149,30 @@
 	usageSamples        []float64 // usage of the limit that the latest answers reported, as shares
 	refusalSamples      []float64 // latest pushes that were delivered (0) or refused (1)
 	lastRefusal         float64   // time of the last refusal; -never for none
-	recovering          bool      // in an outage or in slow start after it
-	outageSince         float64   // time at which the outage was detected
-	respondingSince     float64   // estimated end of the outage; never while it lasts
-	firstAnswer         float64   // time of the first answer after the outage
-	lastDeliveredSend   float64   // time at which the latest of the delivered pushes was sent
-	sendOutcomes        []sample  // latest pushes by the time they were sent: 0 for a delivery, 1 for a failure
-	firstFailure        Result    // result of the first failure since a delivery, until classifyFirstFailure; Delivered for none
-	lastDelivery        float64   // time of the last delivery
-	lastFailure         float64   // time of the last failure that was counted
-	lastFailureDuration float64   // duration of the push that failed last
-	lastTrial           float64   // time of the last push, or of the detection of the outage if that is later
-	jitter              float64   // random factor on the time until the next trial, or on the pause after a refusal; 0 before both
+	budget              recoveryBudget
+	ejected             bool     // an outage was detected and nothing has been delivered since
+	outageSince         float64  // time at which the outage was detected
+	lastDeliveredSend   float64  // time at which the latest of the delivered pushes was sent
+	sendOutcomes        []sample // latest pushes by the time they were sent: 0 for a delivery, 1 for a failure
+	firstFailure        Result   // result of the first failure since a delivery, until classifyFirstFailure; Delivered for none
+	lastDelivery        float64  // time of the last delivery
+	lastFailure         float64  // time of the last failure that was counted
+	lastFailureDuration float64  // duration of the push that failed last
+	lastTrial           float64  // time of the last push, or of the detection of the outage if that is later
+	jitter              float64  // random factor on the time until the next trial, or on the pause after a refusal; 0 before both
 }
 
-// inOutage reports whether an outage was detected and nothing has been delivered since.
-func (t *throttle) inOutage() bool { return t.recovering && t.respondingSince == never }
-
 // health returns the state that decisions assume.
 func (t *throttle) health() HealthState {
 	switch {
-	case t.inOutage():
+	case t.ejected:
 		return Ejected
-	case t.recovering:
-		return SlowStart
-	case t.failuresInRow > 0:
+	case !t.budget.bound():
+		return Healthy
+	case t.budget.respondingSince == never:
 		return Suspected
 	}
-	return Healthy
+	return SlowStart
 }
 
 // firstFailureCounts counts how many first failures turned out to be part of an outage, and how many were isolated.
@@ -242,7 +238,11 @@
 	}
 	for id, t := range s.throttles {
 		listed := id.shared && s.dir.KnownDest(id.owner) || !id.shared && s.dir.Contains(id.owner)
-		if !listed && t.inFlight == 0 && t.blockedUntil <= now && !s.stillRecovering(now, t) {
+		if !listed && t.inFlight == 0 && t.blockedUntil <= now {
+			s.endSlowStart(now, t)
+			if health := t.health(); health == Ejected || health == SlowStart {
+				continue
+			}
 			delete(s.throttles, id)
 		}
 	}
@@ -295,7 +295,7 @@
 	}
 	t := s.throttles[id]
 	if t == nil {
-		t = &throttle{id: id, allowance: never, refusedSince: never, lastRefusal: -never, respondingSince: never}
+		t = &throttle{id: id, allowance: never, refusedSince: never, lastRefusal: -never, lastDeliveredSend: -never, budget: recoveryBudget{boundSince: never}}
 		s.throttles[id] = t
 	}
 	return t
