Model check: the destination has a listed rate, so that plans with failures play all their attempts

Since calls keep to this dispatcher's part after a failure, a destination of unknown rate gets one call and then none within the short lives of these processes: TestPlanted's window from the last call found no violation (red with the commit before), and the random series would have played fewer attempts without saying so. With a rate of 50 the part allows each attempt, as before; the plans, the checks and the counts of series are unchanged.

--- a/lab/modelcheck/world.go
+++ b/lab/modelcheck/world.go
@@ -204,10 +204,14 @@
 	return changed
 }
 
+// endpointRate is the listed rate of the destination, in calls per second. It is high enough that the recovery budget allows each
+// attempt of a plan as soon as an endpoint is no longer set aside.
+const endpointRate = 50
+
 // endpoints returns the list of endpoints for a mode, and records their zones, which apply from now on.
 func (w *world) endpoints(mode ListMode) []directory.Endpoint {
-	first := directory.Endpoint{ID: "e1", Zone: "a", Kind: endpointKind, Dest: destinationID, Stage: directory.Ready, Addr: "e1"}
-	second := directory.Endpoint{ID: "e2", Zone: "b", Kind: endpointKind, Dest: destinationID, Stage: directory.Ready, Addr: "e2"}
+	first := directory.Endpoint{ID: "e1", Zone: "a", Kind: endpointKind, Dest: destinationID, Stage: directory.Ready, Addr: "e1", Rate: endpointRate}
+	second := directory.Endpoint{ID: "e2", Zone: "b", Kind: endpointKind, Dest: destinationID, Stage: directory.Ready, Addr: "e2", Rate: endpointRate}
 	if mode == ListFirstMoved {
 		first.Zone = "b"
 	}
