Mend: what is known of a destination's outage outlives the process

The new process knew nothing of the outage; a refused call leaves no record in the ledger, and what the process before knew of a destination whose messages have all ended was gone.

Package recoverystate keeps, in two files written in turn in the folder, which destinations pushes are limited to (at most 32 KB each, taken off the ledger's room); a goroutine writes them within 20 ms of a change. The next process starts with them: ejected where nothing was delivered since the latest failure, else in slow start for the rest of it, a call assumed as just sent. A call that was out for longer than a span as its process ended counts as failed, and what is restored counts as arrived here, so that the part follows it.

A write killed at any byte leaves the older file (TestKilledAmidWrite).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -131,6 +131,8 @@
 		s.held[h.ID] = h
 		if isFirstTry {
 			dest.arrivals = appendLast(dest.arrivals, now, maxPushSamples)
+		} else if ntf.Restored { // it was a first try of an earlier process
+			dest.arrivals = appendLast(dest.arrivals, min(now, h.arrivedAt()), maxPushSamples)
 		}
 		if h.ordered() {
 			s.heldByKey[h.Key] = append(s.heldByKey[h.Key], h)
--- a/decide/fleet_rig_test.go
+++ b/decide/fleet_rig_test.go
@@ -226,6 +226,7 @@
 		}
 	}
 	fresh.scheduler.HandleRestart(f.now)
+	fresh.scheduler.RestoreRecovery(f.now, disp.scheduler.RecoveryStates(f.now))
 	for _, id := range slices.Sorted(maps.Keys(disp.notifications)) {
 		tracked := disp.notifications[id]
 		ntf := tracked.Notification
--- a/decide/healthevent.go
+++ b/decide/healthevent.go
@@ -34,10 +34,9 @@
 	ReasonRefusedLong    HealthReason = "refusals without a delivery"
 	ReasonSeparateRoute  HealthReason = "failure of a separate route"
 	ReasonLikelyOutage   HealthReason = "first failure, taken for an outage by its probability"
-	ReasonHalfFailed     HealthReason = "half of the latest pushes failed"
-	ReasonShortOutage    HealthReason = "failures in a row before a delivery"
 	ReasonDelivered      HealthReason = "delivered"
 	ReasonRestoredFailed HealthReason = "push of the previous process failed"
+	ReasonRestored       HealthReason = "as the previous process left it"
 	ReasonWarm           HealthReason = "slow start is over"
 )
 
--- a/decide/recovery.go
+++ b/decide/recovery.go
@@ -8,6 +8,9 @@
 // KeyCooldown returns how long, in seconds, a key pauses after a push that may still run.
 func (s *Scheduler) KeyCooldown() float64 { return s.policy.KeyCooldown }
 
+// OverloadSpan returns the time, in seconds, over which a returning destination must not get more calls than it can take.
+func (s *Scheduler) OverloadSpan() float64 { return s.recovery.OverloadSpan }
+
 // RecoveryBudget returns the recovery budget of the destination, or separate route, of an endpoint: how many calls in any span
 // of the returned length, in seconds, the settings allow all dispatchers together. ok is false if this dispatcher has
 // detected no outage of it, if slow start is over, or if its capacity is unknown.
--- a/decide/recovery_budget.go
+++ b/decide/recovery_budget.go
@@ -1,5 +1,10 @@
 package decide
 
+import (
+	"cmp"
+	"slices"
+)
+
 // recoveryBudget decides whether pushes to a destination, or separate route, are limited to this dispatcher's part of what the
 // destination can take as it returns from an outage. It does not ask whether there was an outage: from a failed or refused push
 // on, pushes are limited until one is delivered, and through slow start after that. Times are in seconds.
@@ -39,3 +44,50 @@
 
 // release ends all limits.
 func (b *recoveryBudget) release() { b.boundSince = never }
+
+// RecoveryState is what a process has to leave to the next about a destination, or separate route, to which pushes are limited.
+// Times are in seconds.
+type RecoveryState struct {
+	Owner           string  // ID of the destination, or of the endpoint that is a separate route
+	SeparateRoute   bool    // Owner is an endpoint
+	BoundSince      float64 // first failed or refused push since pushes were last unlimited
+	RespondingSince float64 // estimated return to service; 0 until a push is delivered after the latest failure
+	FirstAnswer     float64 // first delivery after the latest failure; 0 if none
+}
+
+// RecoveryStates returns the state of each destination and separate route to which pushes are limited, in a fixed order.
+func (s *Scheduler) RecoveryStates(now float64) []RecoveryState {
+	var states []RecoveryState
+	for id, t := range s.throttles {
+		s.endSlowStart(now, t)
+		if !t.budget.bound() {
+			continue
+		}
+		state := RecoveryState{Owner: id.owner, SeparateRoute: !id.shared, BoundSince: t.budget.boundSince}
+		if t.budget.respondingSince != never {
+			state.RespondingSince, state.FirstAnswer = t.budget.respondingSince, t.budget.firstAnswer
+		}
+		states = append(states, state)
+	}
+	slices.SortFunc(states, func(a, b RecoveryState) int { return cmp.Compare(a.Owner, b.Owner) })
+	return states
+}
+
+// RestoreRecovery takes over what an earlier process left. It is called before any notification is placed. Where nothing was
+// delivered after the latest failure, the destination counts as ejected: the earlier process may have used its part, so that only
+// trials are sent. Slow start goes on; a call is assumed to have been sent just now.
+func (s *Scheduler) RestoreRecovery(now float64, states []RecoveryState) {
+	for _, state := range states {
+		t := s.throttleOf(throttleID{owner: state.Owner, shared: !state.SeparateRoute})
+		t.failuresInRow++
+		t.budget.pushFailed(min(now, state.BoundSince), -never)
+		if state.FirstAnswer == 0 {
+			s.eject(now, t, ReasonRestored)
+			continue
+		}
+		t.failuresInRow = 0
+		t.budget.respondingSince, t.budget.firstAnswer = min(now, state.RespondingSince), min(now, state.FirstAnswer)
+		t.sentPushes = append(t.sentPushes, sample{now, 1})
+		s.reportHealth(t, HealthEvent{Previous: Healthy, Reason: ReasonRestored})
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -293,6 +293,11 @@
 	if s.routes.SeparateKinds[entry.Kind] {
 		id = throttleID{owner: entry.ID}
 	}
+	return s.throttleOf(id)
+}
+
+// throttleOf returns the throttle with an ID, which it creates if there is none.
+func (s *Scheduler) throttleOf(id throttleID) *throttle {
 	t := s.throttles[id]
 	if t == nil {
 		t = &throttle{id: id, allowance: never, refusedSince: never, lastRefusal: -never, lastDeliveredSend: -never, budget: recoveryBudget{boundSince: never}}
--- a/dispatcher/process.go
+++ b/dispatcher/process.go
@@ -16,6 +16,7 @@
 	"orchiddrift/invariant"
 	"orchiddrift/platform"
 	"orchiddrift/push"
+	"orchiddrift/recoverystate"
 	"orchiddrift/sock"
 	"orchiddrift/syserr"
 )
@@ -93,7 +94,11 @@
 // run restores the pending notifications, serves clients and pushes notifications until a stop signal or an error.
 func (p *process) run() error {
 	p.log.Info().Int("owed", len(p.state.pending)).Int("taken_over", p.state.report.MigratedRecords).Int("listed", len(p.cfg.Known.Servers)).
-		Msg("start")
+		Int("recovering", len(p.state.recovering)).Msg("start")
+	saver := recoverystate.NewSaver(p.state.recoveryStore, func(err error) { p.errors.Failed(syserr.RecoveryWrite, "", err) })
+	defer saver.Close()
+	p.runner.SaveRecovery = saver.Save
+	p.runner.RestoreRecovery(p.state.recovering)
 	p.runner.Restore(p.state.pending)
 	go p.agent.SendNotices()
 	if !p.cfg.values.ListOnDemand() {
--- a/dispatcher/start.go
+++ b/dispatcher/start.go
@@ -9,8 +9,10 @@
 	"github.com/rs/zerolog"
 
 	"orchiddrift/clock"
+	"orchiddrift/decide"
 	"orchiddrift/disk"
 	"orchiddrift/ledger"
+	"orchiddrift/recoverystate"
 	"orchiddrift/syserr"
 )
 
@@ -92,6 +94,9 @@
 	pending []ledger.Pending // notifications that the previous process left pending
 	report  ledger.Report    // result of reading the ledger
 	clock   func() float64   // Unix time in seconds, unaffected by steps of the wall clock
+	// recovering lists the destinations to which the previous process limited pushes; recoveryStore holds those of this process.
+	recovering    []decide.RecoveryState
+	recoveryStore *recoverystate.Store
 }
 
 // openState opens the folder, the ledger and the clock, and logs damaged ledger records. If the clock's offset cannot be
@@ -104,7 +109,7 @@
 		return nil, fmt.Errorf("ledger: %w", err)
 	}
 	sync := cfg.Ledger.Sync == syncBatch || cfg.Ledger.Sync == syncAlways
-	state.ledger, state.pending, state.report, err = ledger.Open(state.folder, ledger.Options{LimitBytes: int(cfg.Limits.DiskMB * 1e6), Sync: sync})
+	state.ledger, state.pending, state.report, err = ledger.Open(state.folder, ledger.Options{LimitBytes: int(cfg.Limits.DiskMB*1e6) - len(recoverystate.FileNames)*recoverystate.MaxBytes, Sync: sync})
 	if err != nil {
 		_ = state.folder.Close()
 		return nil, err
@@ -112,6 +117,9 @@
 	for _, damaged := range state.report.Damaged {
 		log.Error().Str("file", damaged.File).Int("at", damaged.Offset).Int("bytes", damaged.Bytes).Msg("ledger damaged: pushes of notifications owed from before may have run")
 	}
+	if state.recoveryStore, state.recovering, err = recoverystate.Open(state.folder, sync); err != nil {
+		return nil, errors.Join(fmt.Errorf("recovery state: %w", err), state.ledger.Close(), state.folder.Close())
+	}
 	processClock, err := clock.Open(state.folder, system.ClockSource, sync)
 	if errors.Is(err, clock.ErrOffsetUnreadable) || errors.Is(err, clock.ErrSourceUnreadable) && isTransient(err) && !wallClock {
 		return nil, errors.Join(err, state.ledger.Close(), state.folder.Close())
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -153,7 +153,7 @@
 	g.lastCallID++
 	c.ID, c.Conn, c.sentAt = g.lastCallID, conn, now
 	t := g.throttleKeyOf(c.Endpoint)
-	g.recoveryChecker.CheckSend(now, c.Messages[0].ID, t.String(), c.Endpoint.Dest, g.recoveryTerms(c.Endpoint))
+	g.recoveryChecker.CheckSend(now, c.Messages[0].ID, g.recoveryOwner(c.Endpoint), c.Endpoint.Dest, g.recoveryTerms(c.Endpoint))
 	if calls, span, ok := g.scheduler.RecoveryBudget(now, c.Endpoint); ok {
 		g.checker.CheckRecovery(now, c.Messages[0].ID, t.String(), calls, span)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,10 +113,11 @@
 // Restore takes over, in the order of their acceptance, the messages that the ledger still holds after a restart.
 func (g *Gateway) Restore(now float64, restored []ledger.Pending) []Effect {
 	g.scheduler.HandleRestart(now)
+	lastStart := lastCallStart(restored)
 	for _, r := range restored {
 		m := r.Message
 		m.TimeLeft, m.Restored, m.NoticePending = m.ExpiresAt-now, true, r.Notice != nil
-		m.LastPushFailed = r.LastCall.End == ledger.EndMayHaveRun
+		m.LastPushFailed = g.lastCallFailed(r.LastCall, lastStart)
 		g.pending[m.ID] = &pendingMessage{message: m, noticePending: m.NoticePending}
 		g.registerWithChecker(m)
 		g.execute(now, g.scheduler.Place(now, m.Notification))
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -78,6 +78,7 @@
 // logHealth logs and counts what the scheduler has reported about destinations and routes.
 func (r *Runner) logHealth() {
 	for _, event := range r.Gateway.TakeHealthEvents() {
+		r.recoveryChanged = true
 		line := r.Log.Info().Str("dest", event.Dest).Str("state", string(event.State)).Str("why", string(event.Reason))
 		if event.Endpoint != "" {
 			line = line.Str("endpoint", event.Endpoint)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"orchiddrift/decide"
 	"orchiddrift/invariant"
 	"orchiddrift/ledger"
 	"orchiddrift/permit"
@@ -30,20 +31,23 @@
 	Clock              func() float64 // current time, in seconds
 	Tick               float64        // minimum time between two rounds, in seconds
 	Log                zerolog.Logger
-	Events             chan Event              // events that Run has not applied yet
-	Dialer             push.Dialer             // nil for the system's dialer
-	WritePerEvent      bool                    // write, and sync, the records of each event separately
-	Metrics            *Metrics                // may be nil
-	Replies            *invariant.ReplyChecker // may be nil
-	Errors             *syserr.Recorder        // may be nil
-	listFailureLogged  bool                    // the last watch or fetch of the list failed, and that has been logged
-	effects            []Effect                // not carried out yet
-	writeFailureLogged bool                    // the last write failed, and that has been logged
-	deferred           []deferredEffect        // effects that wait for the ledger, in order
-	pendingRefusals    []pendingRefusal        // refusals that may not be sent yet
-	wakeAt             float64                 // time for which the next iteration of the loop was scheduled
-	repliesOwed        int                     // arrivals without a reply
-	loggedExitDenial   permit.Denial           // what the exit waited for when that was last logged
+	Events             chan Event                   // events that Run has not applied yet
+	Dialer             push.Dialer                  // nil for the system's dialer
+	WritePerEvent      bool                         // write, and sync, the records of each event separately
+	Metrics            *Metrics                     // may be nil
+	Replies            *invariant.ReplyChecker      // may be nil
+	Errors             *syserr.Recorder             // may be nil
+	SaveRecovery       func([]decide.RecoveryState) // stores what the next process has to know; may be nil, must not block
+	recoveryChanged    bool                         // the scheduler reported something since SaveRecovery was last called
+	recoverySavedAt    float64                      // when SaveRecovery was last called
+	listFailureLogged  bool                         // the last watch or fetch of the list failed, and that has been logged
+	effects            []Effect                     // not carried out yet
+	writeFailureLogged bool                         // the last write failed, and that has been logged
+	deferred           []deferredEffect             // effects that wait for the ledger, in order
+	pendingRefusals    []pendingRefusal             // refusals that may not be sent yet
+	wakeAt             float64                      // time for which the next iteration of the loop was scheduled
+	repliesOwed        int                          // arrivals without a reply
+	loggedExitDenial   permit.Denial                // what the exit waited for when that was last logged
 }
 
 const (
@@ -110,6 +114,7 @@
 	effects, wait := r.Gateway.PlaceDue(now)
 	r.effects = append(r.effects, effects...)
 	r.flush()
+	wait = min(wait, r.saveRecovery(now))
 	if len(r.deferred) > 0 || len(r.pendingRefusals) > 0 {
 		wait = min(wait, diskRetryPause)
 	}
@@ -129,8 +134,29 @@
 	return denial == permit.Granted
 }
 
-// reportEnd tells the checker that the process ends.
-func (r *Runner) reportEnd() { r.Replies.Ended(len(r.deferred)) }
+// recoverySaveInterval is the minimum time between two calls of SaveRecovery, in seconds.
+const recoverySaveInterval = 0.02
+
+// saveRecovery passes on what the next process has to know, if that may have changed, and returns the time, in seconds, after
+// which it has to be called again.
+func (r *Runner) saveRecovery(now float64) float64 {
+	if !r.recoveryChanged || r.SaveRecovery == nil {
+		return math.Inf(1)
+	}
+	if wait := r.recoverySavedAt + recoverySaveInterval - now; wait > 0 {
+		return wait
+	}
+	r.recoveryChanged, r.recoverySavedAt = false, now
+	r.SaveRecovery(r.Gateway.RecoveryStates(now))
+	return math.Inf(1)
+}
+
+// reportEnd saves what the next process has to know, and tells the checker that the process ends.
+func (r *Runner) reportEnd() {
+	r.recoverySavedAt = math.Inf(-1)
+	r.saveRecovery(r.Clock())
+	r.Replies.Ended(len(r.deferred))
+}
 
 // detectStall checks, after each sleep of the loop, whether the process was stalled, and pauses all pushes if so.
 func (r *Runner) detectStall() {
@@ -166,6 +192,11 @@
 	r.flush()
 }
 
+// RestoreRecovery passes to the gateway what the previous process knew of recovering destinations. It is called before Restore.
+func (r *Runner) RestoreRecovery(states []decide.RecoveryState) {
+	r.Gateway.RestoreRecovery(r.Clock(), states)
+}
+
 // Restore logs the messages that the ledger held at startup and passes them to the gateway.
 func (r *Runner) Restore(restored []ledger.Pending) {
 	r.logRestored(restored)
--- a/invariant/recovery.go
+++ b/invariant/recovery.go
@@ -75,6 +75,18 @@
 	b.deliveredAt = sentAfter
 }
 
+// Restored records that pushes to a destination or route were limited in an earlier process, since boundSince. firstAnswer is the
+// first delivery after its latest failure; 0 for none.
+func (r *RecoveryChecker) Restored(throttle string, boundSince, firstAnswer float64) {
+	if r == nil {
+		return
+	}
+	if firstAnswer == 0 {
+		firstAnswer = math.Inf(1)
+	}
+	r.bound[throttle] = &boundThrottle{since: boundSince, sentBefore: math.Inf(-1), deliveredAt: firstAnswer}
+}
+
 // Delivered records that a push, sent at sentAt, was delivered.
 func (r *RecoveryChecker) Delivered(now, sentAt float64, throttle string, terms RecoveryTerms) {
 	if r == nil {
--- a/syserr/recorder.go
+++ b/syserr/recorder.go
@@ -30,6 +30,7 @@
 	AgentRead      Call = "agent read"
 	AgentWrite     Call = "agent write"
 	LedgerWrite    Call = "ledger write"
+	RecoveryWrite  Call = "recovery state write"
 	ConfigRead     Call = "configuration read"
 )
 
