--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -103,6 +103,23 @@
 	}
 }
 
+// Guards against a rule that forgets at a restart what a dispatcher was told: a planted one that is killed in an outage, and ignores
+// it in its next process, which has seen none, overloads the destination as it returns.
+func TestPlantedAcrossRestart(t *testing.T) {
+	t.Parallel()
+	s := open("rules")
+	s.Troubles = append(s.Troubles, scenario.Trouble{Kind: scenario.Kill, At: 3.3, Wait: 0.3, Dispatchers: []int{0}})
+	for role, want := range map[string]string{"planted:" + planted.ForgetOutage: rules.Overload, "run": ""} {
+		r, _, err := lab.Run(context.Background(), s, lab.Options{Command: command(role)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := brokenRules(r); want == "" && got != "" || !strings.Contains(got, want) {
+			t.Errorf("%s: broken rules are %q, want %q; first violations: %v", role, got, want, r.Violations[:min(3, len(r.Violations))])
+		}
+	}
+}
+
 // The real dispatcher keeps the rules in scenarios with several troubles at once.
 func TestScenarios(t *testing.T) {
 	for _, name := range []string{"tour", "all-at-once", "lost-and-killed", "cold-restart", "drain-in-wait", "late"} {
--- a/lab/planted/planted.go
+++ b/lab/planted/planted.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -32,6 +33,13 @@
 // CloseUnanswered, in place of a rule, makes the dispatcher close one in lossInterval requests unanswered. It breaks rules.Lost.
 const CloseUnanswered = "closed"
 
+// ForgetOutage, in place of a rule, makes the dispatcher keep all rules until its process is restarted, and then push as fast as it
+// can to the destinations at which pushes of the earlier process failed. It breaks rules.Overload.
+const ForgetOutage = "forgets"
+
+// failedFile is the file in the state folder that lists, a line each, the destinations at which pushes failed.
+const failedFile = "failed"
+
 // message is an accepted notification.
 type message struct {
 	id, topic, dest, idempotencyKey string
@@ -51,12 +59,15 @@
 	queues     map[string]chan *message   // by destination
 	waitUntil  map[string]time.Time       // by destination: no push before this time
 	accepted   int
+
+	failedPath    string          // of failedFile
+	failedEarlier map[string]bool // by destination: a push of an earlier process failed there
 }
 
 // Run runs a dispatcher that breaks the given rule, or none if it is "". It returns only with an error.
 func Run(getenv func(string) string, brokenRule string) error {
-	if brokenRule != "" && brokenRule != CloseUnanswered && !slices.Contains(rules.All, brokenRule) {
-		return fmt.Errorf("unknown rule %q: must be one of %s, %s", brokenRule, strings.Join(rules.All, ", "), CloseUnanswered)
+	if brokenRule != "" && brokenRule != CloseUnanswered && brokenRule != ForgetOutage && !slices.Contains(rules.All, brokenRule) {
+		return fmt.Errorf("unknown rule %q: must be one of %s, %s, %s", brokenRule, strings.Join(rules.All, ", "), CloseUnanswered, ForgetOutage)
 	}
 	configJSON, err := os.ReadFile(getenv("ROUTER_CONFIG"))
 	if err != nil {
@@ -77,6 +88,12 @@
 	for _, class := range config.Settings.Classes {
 		d.onceOnly[class.Name] = class.Repeat == "single_shot"
 	}
+	d.failedPath, d.failedEarlier = filepath.Join(getenv("ROUTER_STATE"), failedFile), map[string]bool{}
+	if failed, err := os.ReadFile(d.failedPath); err == nil {
+		for dest := range strings.Lines(string(failed)) {
+			d.failedEarlier[strings.TrimSpace(dest)] = true
+		}
+	}
 	d.applyList(config.Known)
 	go d.watchList(config.Known.Version)
 	mux := http.NewServeMux()
@@ -171,6 +188,9 @@
 			time.Sleep(min(wait, time.Until(m.deadline)))
 			continue
 		}
+		if d.brokenRule == ForgetOutage && d.failedEarlier[m.dest] {
+			d.overload(m)
+		}
 		status, retryAfter := d.push(m)
 		if status == http.StatusOK {
 			time.Sleep(pushInterval)
@@ -183,6 +203,9 @@
 		if d.brokenRule == rules.Overload {
 			d.overload(m)
 		}
+		if d.brokenRule == ForgetOutage {
+			d.recordFailure(m.dest)
+		}
 		d.mu.Lock()
 		if d.waitUntil[m.dest] = time.Now().Add(max(retryAfter, minRetryWait)); d.brokenRule == rules.ToldWait {
 			d.waitUntil[m.dest] = time.Now().Add(2 * pushInterval)
@@ -204,6 +227,18 @@
 	}
 }
 
+// recordFailure appends a destination to failedFile.
+func (d *dispatcher) recordFailure(dest string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f, err := os.OpenFile(d.failedPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintln(f, dest)
+	_ = f.Close()
+}
+
 // overload pushes a notification to a failing destination many times in parallel, until each push was answered with 200
 // or the deadline is near.
 func (d *dispatcher) overload(m *message) {
