Mend: a process that starts in an outage dates the return from its start, not half of slow start ago

The return is dated halfway between the last failure and the first answer; a new process has no failure of its own, so it took half of slow start for over and sent three times what a cold destination takes. What is restored counts as failing when the process starts.

--- a/decide/recovery_budget.go
+++ b/decide/recovery_budget.go
@@ -79,7 +79,7 @@
 func (s *Scheduler) RestoreRecovery(now float64, states []RecoveryState) {
 	for _, state := range states {
 		t := s.throttleOf(throttleID{owner: state.Owner, shared: !state.SeparateRoute})
-		t.failuresInRow++
+		t.failuresInRow, t.lastFailure = t.failuresInRow+1, now // it was failing as the process started, as far as is known
 		t.budget.pushFailed(min(now, state.BoundSince), -never)
 		if state.FirstAnswer == 0 {
 			s.eject(now, t, ReasonRestored)
--- a/decide/slowstart.go
+++ b/decide/slowstart.go
@@ -65,7 +65,7 @@
 		if t.budget.bound() || s.routes.SeparateKinds[entry.Kind] {
 			continue
 		}
-		t.failuresInRow++
+		t.failuresInRow, t.lastFailure = t.failuresInRow+1, now
 		t.budget.pushFailed(now, -never)
 		s.reportHealth(t, HealthEvent{Previous: Healthy, Reason: ReasonRestoredFailed})
 	}
