Mend: a few deliveries in an outage no longer end what the failures began

Callers saw: a destination that answers some calls while most fail comes back cold, and those that had calls fail there send as to a warm one.

--- a/decide/fleet_rig_test.go
+++ b/decide/fleet_rig_test.go
@@ -90,7 +90,8 @@
 	at         float64
 	dispatcher int
 	sawOutage  bool
-	failures   int // failed pushes of its dispatcher since the outage began
+	failures   int                // failed pushes of its dispatcher since the outage began
+	state      decide.HealthState // what its dispatcher assumed before it was sent
 }
 
 // pushInFlight is a push that has not ended yet. Times are in seconds.
@@ -336,6 +337,7 @@
 		if tracked := disp.notifications[id]; tracked != nil {
 			ntf = tracked.Notification
 		}
+		state := disp.scheduler.RecoveryStatus(f.now, directory.Endpoint{ID: "e0", Kind: "plain", Dest: failingDest, Rate: f.rate}).State
 		decision := disp.scheduler.Place(f.now, ntf)
 		if decision.Action != decide.Push {
 			f.confirmFinal(disp, decision)
@@ -348,7 +350,7 @@
 			continue
 		}
 		if f.now >= f.returnsAt() && (f.countEachCall || lastCall != f.now) {
-			f.arrivals = append(f.arrivals, arrival{f.now, disp.index, disp.sawOutage, disp.failures})
+			f.arrivals = append(f.arrivals, arrival{f.now, disp.index, disp.sawOutage, disp.failures, state})
 		}
 		if lastCall != f.now && push.result == decide.Delivered {
 			f.answered = append(f.answered, f.now)
@@ -397,6 +399,18 @@
 	disp.scheduler.HandleOutcome(f.now, decide.Outcome{NotificationID: decision.NotificationID, Result: decide.Withdrawn, Final: true})
 }
 
+// describeSpan counts the calls of a span after the return by the state that their dispatchers assumed and the failures that they had
+// met.
+func describeSpan(f fleetScenario, arrivals []arrival, from float64) string {
+	count := map[string]int{}
+	for _, a := range arrivals {
+		if a.at >= f.returnsAt()+from && a.at < f.returnsAt()+from+f.recovery.OverloadSpan {
+			count[fmt.Sprintf("%v after %d failures", a.state, min(a.failures, 3))]++
+		}
+	}
+	return fmt.Sprint(count)
+}
+
 // worstSpan returns the overload span after the return with the most calls beyond the recovery budget: its calls, its budget
 // and its start in seconds after the return. It considers only spans while the destination is cold in which more than two
 // thirds of the calls are from dispatchers that saw the outage.
--- a/decide/health.go
+++ b/decide/health.go
@@ -150,7 +150,6 @@
 		return
 	}
 	c.failureCounted = true
-	t.sendOutcomes = appendLast(t.sendOutcomes, sample{c.startedAt, 1}, maxSendOutcomes)
 	if c.startedAt < t.lastDeliveredSend { // a push that started later was delivered, so this failure shows no present outage
 		s.reportOutcome(c, outcome.Result, ReasonLaterDelivered, true)
 		return
@@ -164,8 +163,7 @@
 		ep.setAsideUntil = now + setAsideBase + setAsideJitter*s.rng.float()
 	}
 	s.classifyFirstFailure(t, true)
-	recentOutcomes := t.outcomes[max(0, len(t.outcomes)-healthSamples):]
-	failures, failuresOfLastTwo := countFailures(recentOutcomes), countFailures(recentOutcomes[max(0, len(recentOutcomes)-2):])
+	failuresOfLastTwo := countFailures(t.outcomes[max(0, len(t.outcomes)-2):])
 	// An earlier push of the endpoint failed too, for example by a reset, and it has not answered since.
 	failedAgain := outcome.Result == NotConnected && ep.firstFailure > ep.lastAnswer && ep.firstFailure < now
 	// noDelivery: nothing was delivered while the push was in flight.
@@ -177,9 +175,6 @@
 	case noDelivery && s.rng.float() < s.outageProbability(now, c, h, outcome):
 		s.eject(now, t, ReasonLikelyOutage)
 	}
-	if failures >= 2 && 2*failures >= len(recentOutcomes) { // at least half of the latest pushes failed
-		t.budget.mostlyFailing = true
-	}
 }
 
 // outageProbability returns the probability that a first failure of a destination, with nothing delivered while the push
@@ -228,27 +223,35 @@
 	t.firstFailure = Delivered
 }
 
-// bindAfterFailure limits pushes to a destination after a failed push, whatever the failure says about an outage. One between
-// two deliveries that were sent within an overload span shows no outage that matters. One that was sent before a later delivery is
-// followed by slow start from that delivery on.
+// bindAfterFailure limits pushes to a destination after a failed push, whatever the failure says about an outage. An isolated one
+// between two deliveries that were sent within an overload span shows no outage that matters. One that was sent before a later
+// delivery is followed by slow start from that delivery on.
 func (s *Scheduler) bindAfterFailure(now float64, c *call) {
 	t := c.throttle
-	if c.failureCounted { // the notifications of a call share one failure
+	if c.bound { // the notifications of a call share one failure
 		return
 	}
+	c.bound = true
+	t.sendOutcomes = appendLast(t.sendOutcomes, sample{c.startedAt, 1}, maxSendOutcomes)
 	before, after := t.deliveriesAround(c.startedAt)
-	if after-before < s.recovery.OverloadSpan {
+	often := t.failsOften()
+	if after-before < s.recovery.OverloadSpan && !often {
 		return
 	}
 	t.failuresInRow++
-	if after == never {
-		t.budget.pushFailed(now, before)
-	} else if !t.budget.bound() {
-		t.budget.pushFailed(after, before)
+	t.budget.pushFailed(min(now, after), before)
+	if t.budget.oftenFailing = t.budget.oftenFailing || often; after < never {
 		t.budget.pushDelivered(after, after)
 	}
 }
 
+// failsOften reports whether more of the latest pushes failed than isolated failures explain.
+func (t *throttle) failsOften() bool {
+	recent := t.sendOutcomes[max(0, len(t.sendOutcomes)-healthSamples):]
+	failures := countFailures(recent)
+	return failures > 1 && float64(failures) > maxIsolatedShare*float64(len(recent))
+}
+
 // deliveriesAround returns when the latest delivered push at or before sentAt, and the first one after it, were sent.
 func (t *throttle) deliveriesAround(sentAt float64) (before, after float64) {
 	before, after = -never, never
--- a/decide/recovery.go
+++ b/decide/recovery.go
@@ -16,9 +16,8 @@
 // detected no outage of it, if slow start is over, or if its capacity is unknown.
 func (s *Scheduler) RecoveryBudget(now float64, entry directory.Endpoint) (calls, span float64, ok bool) {
 	t := s.throttle(entry)
-	s.endSlowStart(now, t)
 	rate := s.destinationRate(entry, t)
-	if !t.budget.bound() || rate <= 0 {
+	if !t.budget.bound() || t.budget.slowStartOver(now, s.recovery.WarmUp) || rate <= 0 {
 		return 0, 0, false
 	}
 	return s.recovery.OverloadFactor * s.capacityShare(now, t) * rate * s.recovery.OverloadSpan, s.recovery.OverloadSpan, true
--- a/decide/recovery_budget.go
+++ b/decide/recovery_budget.go
@@ -13,9 +13,17 @@
 	deliveredBefore float64 // when the latest delivered push before that one was sent; -never for none
 	respondingSince float64 // estimated return to service; never until a push is delivered after the latest failure
 	firstAnswer     float64 // first delivery after the latest failure
-	mostlyFailing   bool    // half of the latest pushes failed: deliveries close to each other do not show that there was no outage
+	deliveries      int     // since the latest failure
+	oftenFailing    bool    // several of the latest pushes failed: deliveries close to each other do not show that there was no outage
 }
 
+// minSlowStartDeliveries is the number of deliveries in a row without which slow start does not end. Where some calls are delivered
+// during an outage, one or two are no sign of its end.
+const minSlowStartDeliveries = 3
+
+// maxIsolatedShare is the share of the latest pushes that may fail without an outage.
+const maxIsolatedShare = 0.25
+
 // bound reports whether pushes are limited.
 func (b *recoveryBudget) bound() bool { return b.boundSince != never }
 
@@ -23,14 +31,15 @@
 // sent.
 func (b *recoveryBudget) pushFailed(now, deliveredBefore float64) {
 	if !b.bound() {
-		b.boundSince, b.deliveredBefore, b.mostlyFailing = now, deliveredBefore, false
+		b.boundSince, b.deliveredBefore, b.oftenFailing = now, deliveredBefore, false
 	}
-	b.respondingSince, b.firstAnswer = never, never
+	b.respondingSince, b.firstAnswer, b.deliveries = never, never, 0
 }
 
 // pushDelivered begins slow start if pushes are limited and none has been delivered since the latest failure. Slow start lasts
 // for Recovery.WarmUp; the capacity is assumed to grow from respondingSince on.
 func (b *recoveryBudget) pushDelivered(now, respondingSince float64) {
+	b.deliveries++
 	if b.bound() && b.respondingSince == never {
 		b.respondingSince, b.firstAnswer = respondingSince, now
 	}
@@ -39,7 +48,12 @@
 // shorterThan reports whether any outage was shorter than span, because a push sent at sentAt was delivered and so was one sent
 // less than span before it, before the first failure.
 func (b *recoveryBudget) shorterThan(span, sentAt float64) bool {
-	return !b.mostlyFailing && sentAt-b.deliveredBefore < span
+	return !b.oftenFailing && sentAt-b.deliveredBefore < span
+}
+
+// slowStartOver reports whether slow start, which lasts for warmUp, is over.
+func (b *recoveryBudget) slowStartOver(now, warmUp float64) bool {
+	return b.bound() && b.respondingSince != never && b.firstAnswer+warmUp < now && b.deliveries >= minSlowStartDeliveries
 }
 
 // release ends all limits.
@@ -59,8 +73,7 @@
 func (s *Scheduler) RecoveryStates(now float64) []RecoveryState {
 	var states []RecoveryState
 	for id, t := range s.throttles {
-		s.endSlowStart(now, t)
-		if !t.budget.bound() {
+		if !t.budget.bound() || t.budget.slowStartOver(now, s.recovery.WarmUp) {
 			continue
 		}
 		state := RecoveryState{Owner: id.owner, SeparateRoute: !id.shared, BoundSince: t.budget.boundSince}
--- a/decide/returns_test.go
+++ b/decide/returns_test.go
@@ -64,12 +64,12 @@
 	return f
 }
 
-// daysPerKind returns how many days of each kind are played: those that RETURN_DAYS asks for, or a few.
-func daysPerKind(t *testing.T) int {
-	const fewDays = 2
-	text := os.Getenv("RETURN_DAYS")
+// fromEnvironment returns the number in an environment variable, or fallback if it is not set.
+func fromEnvironment(t *testing.T, name string, fallback int) int {
+	t.Helper()
+	text := os.Getenv(name)
 	if text == "" {
-		return fewDays
+		return fallback
 	}
 	n, err := strconv.Atoi(text)
 	if err != nil {
@@ -80,17 +80,17 @@
 
 // Guards against an overload of a returning destination by dispatchers that had a call fail or be refused there, however the
 // calls ended, and whether or not the dispatchers restarted meanwhile. At most one day in fifty may have an overload, and with
-// enough days to tell, at most one in twenty of each kind.
+// enough days to tell, at most one in twenty of each kind. RETURN_DAYS sets the days of each kind, RETURN_SEED the first seed.
 func TestReturns(t *testing.T) {
-	const firstSeed, maxShareOfAll, maxShareOfKind, enoughDays = 61000, 0.02, 0.05, 40
-	kinds, days := returnKinds(), daysPerKind(t)
+	const fewDays, defaultSeed, maxShareOfAll, maxShareOfKind, enoughDays = 2, 61000, 0.02, 0.05, 40
+	kinds, days, firstSeed := returnKinds(), fromEnvironment(t, "RETURN_DAYS", fewDays), fromEnvironment(t, "RETURN_SEED", defaultSeed)
 	var scenarios []fleetScenario
 	for _, kind := range kinds {
 		for n := range days {
 			scenarios = append(scenarios, kind.day(n))
 		}
 	}
-	results := simulateAll(scenarios, firstSeed)
+	results := simulateAll(scenarios, uint64(firstSeed))
 	overloaded := 0
 	for i, kind := range kinds {
 		ofKind, worst := 0, 0.0
@@ -98,6 +98,8 @@
 			worst = max(worst, float64(result.calls)/result.allowed)
 			if result.overloaded() {
 				ofKind++
+				t.Logf("%v, %g/s, load %g, TTL %g, outage of %g s, %d endpoints: %d calls from %.1f s after the return on, %.1f allowed: %s", kind, result.rate,
+					result.load, result.ttl, result.outageDuration, result.endpoints, result.calls, result.spanStart, result.allowed, result.senders)
 			}
 		}
 		if ofKind > 0 || testing.Verbose() {
--- a/decide/slowstart.go
+++ b/decide/slowstart.go
@@ -11,14 +11,15 @@
 // allow for a cold one. Each dispatcher uses its share of that recovery budget.
 
 const (
-	maxElapsedShare    = 0.5  // largest share of slow start that is counted as elapsed when a destination first answers
-	usedBudgetShare    = 0.8  // share of the recovery budget that is used
-	exhaustedLimitLeft = 0.05 // share of a limit left below which the demand may exceed the limit
-	exhaustedUsage     = 1.3  // usage, as a share of the limit, assumed below exhaustedLimitLeft and before any is reported
-	minUsage           = 0.2  // lower bound of the expected usage, as a share of the limit
-	maxTrialRateFactor = 3.0  // upper bound of the factor on the trial rate that makes up for dispatchers with nothing to try
-	minTrialRateFactor = 2.0  // lower bound of the factor on the trial rate that makes up for dispatchers with nothing to try
-	trialSlotDivisor   = 4    // one slot in this many, but at least one, may be used for destinations in an outage
+	maxElapsedShare    = 0.5     // largest share of slow start that is counted as elapsed when a destination first answers
+	usedBudgetShare    = 0.8     // share of the recovery budget that is used
+	exhaustedLimitLeft = 0.05    // share of a limit left below which the demand may exceed the limit
+	exhaustedUsage     = 1.3     // usage, as a share of the limit, assumed below exhaustedLimitLeft and before any is reported
+	minUsage           = 0.2     // lower bound of the expected usage, as a share of the limit
+	maxTrialRateFactor = 3.0     // upper bound of the factor on the trial rate that makes up for dispatchers with nothing to try
+	minTrialRateFactor = 2.0     // lower bound of the factor on the trial rate that makes up for dispatchers with nothing to try
+	maxReleasedShare   = 1.0 / 3 // largest share of what a warm destination takes in a span that one dispatcher sends at once
+	trialSlotDivisor   = 4       // one slot in this many, but at least one, may be used for destinations in an outage
 )
 
 // recoveryStart returns when the next push to a destination may start, such that all dispatchers together send no more than
@@ -26,7 +27,7 @@
 // outage one push is sent at a time, and jitter spreads the trials of the dispatchers. After a failure that shows no outage, and
 // in slow start, pushes keep to this dispatcher's part of the recovery budget.
 func (s *Scheduler) recoveryStart(now float64, dest *destination, entry directory.Endpoint, t *throttle) float64 {
-	s.endSlowStart(now, t)
+	s.endSlowStart(now, dest, entry, t)
 	if !t.budget.bound() {
 		return now
 	}
@@ -48,13 +49,19 @@
 	return usedBudgetShare * s.recovery.OverloadFactor * s.capacityShare(now, t) * s.cappedDemand(now, dest, entry, t)
 }
 
-// endSlowStart releases a destination whose slow start is over: Recovery.WarmUp after the first answer to this dispatcher. The
-// destination may be warm earlier, but all notifications held for it are sent at once when slow start ends.
-func (s *Scheduler) endSlowStart(now float64, t *throttle) {
-	if t.budget.bound() && t.budget.respondingSince != never && t.budget.firstAnswer+s.recovery.WarmUp < now {
-		t.budget.release()
-		s.reportHealth(t, HealthEvent{Previous: SlowStart, Reason: ReasonWarm})
+// endSlowStart releases a destination whose slow start is over: Recovery.WarmUp after the first answer to this dispatcher, once
+// what is held for it is a small part of what the warm destination takes in a span. All of that is sent at once then, and other
+// dispatchers may have found the destination back later.
+func (s *Scheduler) endSlowStart(now float64, dest *destination, entry directory.Endpoint, t *throttle) {
+	if !t.budget.slowStartOver(now, s.recovery.WarmUp) {
+		return
 	}
+	warmBudget := s.recovery.OverloadFactor * s.destinationRate(entry, t) * s.recovery.OverloadSpan
+	if float64(len(dest.queue)) > max(1, maxReleasedShare*warmBudget, s.recoveryRate(now, dest, entry, t)*s.recovery.OverloadSpan) {
+		return
+	}
+	t.budget.release()
+	s.reportHealth(t, HealthEvent{Previous: SlowStart, Reason: ReasonWarm})
 }
 
 // bindAfterRestart limits pushes to a destination to which a push of an earlier process failed. It may be in an outage or just back
--- a/decide/slowstart_test.go
+++ b/decide/slowstart_test.go
@@ -41,6 +41,7 @@
 	calls      int     // calls in that span
 	allowed    float64 // calls that the destination can take in it, with chanceMargin
 	spanStart  float64 // seconds after the return
+	senders    string  // who sent the calls of that span, as describeSpan says
 	budgetUsed float64 // share of the budget of the first three seconds used by dispatchers that saw the outage
 }
 
@@ -59,7 +60,8 @@
 			defer func() { <-semaphore }()
 			arrivals := simulateFleet(f, firstSeed+uint64(i))
 			calls, allowed, at := worstSpan(f, arrivals)
-			result := scenarioResult{fleetScenario: f, calls: calls, allowed: allowed + f.margin(allowed), spanStart: at}
+			result := scenarioResult{fleetScenario: f, calls: calls, allowed: allowed + f.margin(allowed), spanStart: at,
+				senders: describeSpan(f, arrivals, at)}
 			for _, a := range arrivals {
 				if a.sawOutage && a.at < f.returnsAt()+earlySpan {
 					result.budgetUsed++
--- a/decide/state.go
+++ b/decide/state.go
@@ -121,6 +121,7 @@
 	size           int     // notifications in the call
 	pending        int     // notifications without an outcome
 	failureCounted bool    // its failure has been recorded, once for the whole call
+	bound          bool    // its failure has limited the pushes to its destination, once for the whole call
 }
 
 // destination holds the queue of a destination and its state in deficit round robin.
@@ -239,8 +240,7 @@
 	for id, t := range s.throttles {
 		listed := id.shared && s.dir.KnownDest(id.owner) || !id.shared && s.dir.Contains(id.owner)
 		if !listed && t.inFlight == 0 && t.blockedUntil <= now {
-			s.endSlowStart(now, t)
-			if health := t.health(); health == Ejected || health == SlowStart {
+			if health := t.health(); health == Ejected || health == SlowStart && !t.budget.slowStartOver(now, s.recovery.WarmUp) {
 				continue
 			}
 			delete(s.throttles, id)
