Mend: trials of all dispatchers use nine tenths of the recovery budget, not all of it

Three expected outputs move with the rate of the draws: 13 of 200 in place of 14, 82 in place of 83, and one trial of Example_unlistedRate falls after its end.

--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -518,7 +518,7 @@
 	}
 	// Output:
 	// 0.0 A0, 0.0 A1, 0.0 A2, 0.0 A3, 0.0 A4, 0.0 A5, 0.0 A6, 0.0 A7, 0.0 A8
-	// 0.0 A0, 0.0 A1, 0.0 A2, 0.0 A3, 0.0 A4, 0.0 A5, 0.0 A6, 0.0 A7, 0.0 A8, 1.5 A0, 3.0 A0, 9.8 A0
+	// 0.0 A0, 0.0 A1, 0.0 A2, 0.0 A3, 0.0 A4, 0.0 A5, 0.0 A6, 0.0 A7, 0.0 A8, 1.5 A0, 3.0 A0
 }
 
 // An endpoint that fails one topic and accepts the others is avoided for that topic only, while another endpoint can take it.
--- a/decide/slowstart.go
+++ b/decide/slowstart.go
@@ -13,6 +13,7 @@
 const (
 	maxElapsedShare    = 0.5     // largest share of slow start that is counted as elapsed when a destination first answers
 	usedBudgetShare    = 0.8     // share of the recovery budget that is used
+	trialBudgetShare   = 0.9     // share of the recovery budget that trials during an outage use
 	exhaustedLimitLeft = 0.05    // share of a limit left below which the demand may exceed the limit
 	exhaustedUsage     = 1.3     // usage, as a share of the limit, assumed below exhaustedLimitLeft and before any is reported
 	minUsage           = 0.2     // lower bound of the expected usage, as a share of the limit
@@ -117,7 +118,7 @@
 			rateSum += 1 / s.trialSpan(h)
 		}
 	}
-	trialsEach := s.recovery.OverloadFactor * s.recovery.InitialCapacityShare / s.expectedUsage(t) // trials per recent notification
+	trialsEach := trialBudgetShare * s.recovery.OverloadFactor * s.recovery.InitialCapacityShare / s.expectedUsage(t) // trials per recent notification
 	evenShare, span := s.evenShare(s.destinationRate(entry, t)), max(s.recovery.WarmUp, 1)
 	if expected := span * evenShare; expected > 0 && recentCount > chanceBound(expected) {
 		trialsEach *= chanceBound(expected) / recentCount
--- a/decide/slowstart_test.go
+++ b/decide/slowstart_test.go
@@ -165,10 +165,10 @@
 		}
 	}
 	// The settings allow 4 calls per second at the return. At most 13 per second may be asked for, which count as recent for
-	// 10 s. So a dispatcher tries once in 33 s, and 12 of 200 try within 2 s on average.
+	// 10 s; trials use nine tenths of that. So a dispatcher tries once in 37 s, and 11 of 200 try within 2 s on average.
 	fmt.Printf("%d of %d tried it within 2 s\n", pushed, dispatchers)
 	// Output:
-	// 14 of 200 tried it within 2 s
+	// 13 of 200 tried it within 2 s
 }
 
 // Guards against missing an outage shorter than the timeouts: when its pushes time out, later ones have been delivered, and
@@ -230,7 +230,7 @@
 	fmt.Println("200 dispatchers, answered with an error:", pushedAgain(200, failed))
 	// Output:
 	// two dispatchers: 200
-	// 200 dispatchers: 83
+	// 200 dispatchers: 82
 	// 200 dispatchers, no connection: 96
 	// 200 dispatchers, answered with an error: 200
 }
