--- a/decide/healthevent.go
+++ b/decide/healthevent.go
@@ -90,6 +90,9 @@
 func (s *Scheduler) RecoveryStatus(now float64, entry directory.Endpoint) RecoveryStatus {
 	t := s.throttle(entry)
 	status := RecoveryStatus{State: t.health(), Failures: t.failuresInRow, Span: s.recovery.OverloadSpan}
+	if status.State == Healthy {
+		return status
+	}
 	if status.State == SlowStart {
 		status.Part = s.recoveryRate(now, s.destination(entry.Dest), entry, t) * status.Span
 	}
