Judge: a request written to a killed process that the system has not ended yet is excused by the kill

It now also holds from the kill until the process has ended, and no longer: one that has ended or started again before is reported as before (both in Example_unanswered).

--- a/lab/rules/rules_test.go
+++ b/lab/rules/rules_test.go
@@ -121,6 +121,8 @@
 	printViolations("closed", (&journalBuilder{}).unanswered("a", fresh))
 	printViolations("killed", (&journalBuilder{}).unanswered("a", fresh).event(record.Killed, 5.09))
 	printViolations("killed later", (&journalBuilder{}).unanswered("a", fresh).event(record.Killed, 5.2))
+	printViolations("killed, and still ending", (&journalBuilder{}).unanswered("a", fresh).event(record.Killed, 4.9).event(record.Exited, 5.08))
+	printViolations("killed, ended and started before", (&journalBuilder{}).unanswered("a", fresh).event(record.Killed, 4.8).event(record.Exited, 4.9).event(record.Started, 4.95))
 	printViolations("ended by itself", (&journalBuilder{}).unanswered("a", fresh).event(record.TerminateSent, 1).event(record.Exited, 5.1))
 	printViolations("crossed a close at a stop", (&journalBuilder{}).unanswered("a", reused).event(record.TerminateSent, 4.5))
 	printViolations("reused, closed at once, no stop", (&journalBuilder{}).unanswered("a", reused))
@@ -135,6 +137,8 @@
 	// closed: lost at 5.100 s: dispatcher 0 a : written in full at 5.0000 on client, its connection ended with no answer 0.1000 s later (reused false, idle for 0.000 s; pushed 0 times)
 	// killed: kept
 	// killed later: lost at 5.100 s: dispatcher 0 a : written in full at 5.0000 on client, its connection ended with no answer 0.1000 s later (reused false, idle for 0.000 s; pushed 0 times)
+	// killed, and still ending: kept
+	// killed, ended and started before: lost at 5.100 s: dispatcher 0 a : written in full at 5.0000 on client, its connection ended with no answer 0.1000 s later (reused false, idle for 0.000 s; pushed 0 times)
 	// ended by itself: lost at 5.100 s: dispatcher 0 a : written in full at 5.0000 on client, its connection ended with no answer 0.1000 s later (reused false, idle for 0.000 s; pushed 0 times)
 	// crossed a close at a stop: kept
 	// reused, closed at once, no stop: lost at 5.001 s: dispatcher 0 a : written in full at 5.0000 on client, its connection ended with no answer 0.0010 s later (reused true, idle for 0.000 s; pushed 0 times)
--- a/lab/rules/unanswered.go
+++ b/lab/rules/unanswered.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"orchiddrift/lab/record"
 )
@@ -55,7 +56,7 @@
 			return end.Cause
 		}
 	}
-	if c.hasEvent(h.Dispatcher, attempt.WrittenAt-timingSlack, attempt.EndedAt+timingSlack, record.Killed) {
+	if c.hasEvent(h.Dispatcher, attempt.WrittenAt-timingSlack, attempt.EndedAt+timingSlack, record.Killed) || c.dying(h.Dispatcher, attempt) {
 		return ExcuseKilled
 	}
 	if crossed && attempt.Reused && c.hasEvent(h.Dispatcher, attempt.EndedAt-stopTimeout, attempt.EndedAt-stopClosesFrom, record.TerminateSent) {
@@ -64,6 +65,25 @@
 	return ""
 }
 
+// dying reports whether a request was written to a process that had been killed and still held its sockets: on a busy machine it
+// may take the system a while to end it, and the connection ends with it.
+func (c *checker) dying(dispatcher int, attempt record.Attempt) bool {
+	killedAt := math.Inf(1)
+	for _, event := range c.journal.ProcessEvents {
+		switch {
+		case event.Dispatcher != dispatcher:
+		case event.Kind == record.Killed:
+			killedAt = event.At
+		case event.Kind == record.Exited:
+			if attempt.WrittenAt >= killedAt && attempt.WrittenAt <= event.At && attempt.EndedAt <= event.At+timingSlack {
+				return true
+			}
+			killedAt = math.Inf(1)
+		}
+	}
+	return false
+}
+
 // plannedEndAge is how long before the last byte of a request its connection may have been ended by the plan, in seconds: the end
 // may wait for bytes that are delayed. plannedEndDelay is how long after the end of the connection the proxy, which delays bytes for so
 // long at most, sees that it did not reach the dispatcher before.
