--- a/clock/clock.go
+++ b/clock/clock.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
-	"io"
 	"os"
 	"slices"
 	"strings"
@@ -137,7 +136,7 @@
 	if err != nil || !slices.Contains(names, FileName) {
 		return 0, false, err
 	}
-	text, err := readOffsetFile(folder)
+	text, err := disk.ReadFile(folder, FileName, maxLineBytes)
 	if err != nil {
 		return 0, false, err
 	}
@@ -168,21 +167,6 @@
 // maxLineBytes is the size of the buffer for reading the offset file. It exceeds the length of any valid line.
 const maxLineBytes = 256
 
-// readOffsetFile returns the content of the offset file, up to maxLineBytes.
-func readOffsetFile(folder disk.Folder) (string, error) {
-	f, err := folder.Open(FileName)
-	if err != nil {
-		return "", err
-	}
-	defer f.Close()
-	text := make([]byte, maxLineBytes)
-	n, err := f.ReadAt(text, 0)
-	if err != nil && !errors.Is(err, io.EOF) {
-		return "", err
-	}
-	return string(text[:n]), nil
-}
-
 // writeOffsetFile replaces the offset file and, with sync, flushes the file and the folder to disk.
 func writeOffsetFile(folder disk.Folder, line string, sync bool) error {
 	f, err := folder.Create(FileName)
--- a/disk/disk.go
+++ b/disk/disk.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -29,6 +30,21 @@
 	Close() error
 }
 
+// ReadFile returns the content of a file, up to maxBytes.
+func ReadFile(folder Folder, name string, maxBytes int) (string, error) {
+	f, err := folder.Open(name)
+	if err != nil {
+		return "", err
+	}
+	defer f.Close()
+	content := make([]byte, maxBytes)
+	n, err := f.ReadAt(content, 0)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return "", err
+	}
+	return string(content[:n]), nil
+}
+
 // Dir is a Folder in a directory of the operating system.
 type Dir struct {
 	path string
--- a/recoverystate/store.go
+++ b/recoverystate/store.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
-	"io"
 	"slices"
 	"strings"
 
@@ -48,7 +47,7 @@
 		if !slices.Contains(names, name) {
 			continue
 		}
-		text, err := readFile(folder, name)
+		text, err := disk.ReadFile(folder, name, MaxBytes)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -108,18 +107,3 @@
 	}
 	return content, json.Unmarshal([]byte(body), &content) == nil
 }
-
-// readFile returns the content of a file, up to MaxBytes.
-func readFile(folder disk.Folder, name string) (string, error) {
-	f, err := folder.Open(name)
-	if err != nil {
-		return "", err
-	}
-	defer f.Close()
-	text := make([]byte, MaxBytes)
-	n, err := f.ReadAt(text, 0)
-	if err != nil && !errors.Is(err, io.EOF) {
-		return "", err
-	}
-	return string(text[:n]), nil
-}
