decide: Place and recordFailure in functions of one job each

Place: maintain, admit, applyHistory, startPush, joinCall; recordFailure: whyNoEvidence, avoidForTopic, ejectAfterFailure.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -95,54 +95,12 @@
 // notification it returns the maintenance that is due; it is called with one only if NextTurn returned 0 and an empty ID.
 func (s *Scheduler) Place(now float64, ntf Notification) Decision {
 	if ntf.ID == "" {
-		if s.nextListRequest <= now {
-			s.revisionAtRequest, s.nextListRequest = s.dir.Revision, never
-			return Decision{Action: WatchList}
-		}
-		dueIndex := slices.IndexFunc(s.idleEndpoints,
-			func(idle idleEndpoint) bool { return s.idleCloseAt(now, idle) <= now })
-		ep := s.idleEndpoints[dueIndex].endpoint
-		s.idleEndpoints = slices.Delete(s.idleEndpoints, dueIndex, dueIndex+1)
-		return Decision{Action: CloseIdle, Endpoint: ep.id}
+		return s.maintain(now)
 	}
-	h, known := s.held[ntf.ID]
 	dest := s.destination(ntf.Dest)
+	h, known := s.held[ntf.ID]
 	if !known {
-		h = &heldNotification{Notification: ntf, topic: s.topics[ntf.Topic], expiresAt: now + ntf.TimeLeft, mayHaveRunAt: never}
-		isFirstTry := ntf.TimeLeft > h.topic.TTL-firstTryMargin && !ntf.Restored
-		h.pushes, h.overQuota = ntf.Pushes, isFirstTry && s.overQuota(now, ntf.Tenant)
-		freeRoom := (1-reservedShare)*float64(s.capacity.MaxHeld) - float64(len(s.held))
-		// A notification that waits for its key needs room, but is not limited by the queue bound.
-		queuesBehindKey := freeRoom > 0 && h.ordered() && len(s.heldByKey[h.Key]) > 0
-		if !ntf.Restored && (!s.dir.KnownDest(dest.id) ||
-			!queuesBehindKey && len(dest.queue) >= s.queueBound(h) && !s.displace(now, dest, h)) {
-			return Decision{Action: Throttle, NotificationID: h.ID, RetryIn: s.retryIn(now, dest)}
-		}
-		if ntf.Restored {
-			s.staggerRestored(now, dest, h)
-		}
-		if ntf.LastPushFailed {
-			s.bindAfterRestart(now, ntf.Dest)
-		}
-		if ntf.FirstRunAt > 0 { // sent before a restart: it may still run
-			h.mayHaveRunAt, h.mayHaveRunZone, h.keyBlockedUntil = ntf.FirstRunAt,
-				cmp.Or(ntf.FirstRunZone, s.listedZone(ntf.Dest, ntf.FirstRunEndpoint)), now+s.policy.KeyCooldown
-		}
-		s.held[h.ID] = h
-		if isFirstTry {
-			dest.arrivals = appendLast(dest.arrivals, now, maxPushSamples)
-		} else if ntf.Restored { // it was a first try of an earlier process
-			dest.arrivals = appendLast(dest.arrivals, min(now, h.arrivedAt()), maxPushSamples)
-		}
-		if h.ordered() {
-			s.heldByKey[h.Key] = append(s.heldByKey[h.Key], h)
-		}
-		s.takenCount, s.benefitSum = s.takenCount+1, s.benefitSum+h.topic.Benefit
-		h.sequence = s.takenCount
-		if h.finished, h.noticePending = ntf.NoticePending, ntf.NoticePending; !h.finished {
-			s.enqueue(dest, h)
-		}
-		return Decision{}
+		return s.admit(now, dest, ntf)
 	}
 	if h.finished || h.call != nil {
 		return Decision{}
@@ -154,27 +112,72 @@
 	if entry == nil || s.keyFreeAt(now, h) > now {
 		return Decision{}
 	}
-	t, ep := s.throttle(*entry), s.endpoint(entry.ID)
+	return s.startPush(now, dest, h, *entry)
+}
+
+// maintain returns the maintenance that is due.
+func (s *Scheduler) maintain(now float64) Decision {
+	if s.nextListRequest <= now {
+		s.revisionAtRequest, s.nextListRequest = s.dir.Revision, never
+		return Decision{Action: WatchList}
+	}
+	dueIndex := slices.IndexFunc(s.idleEndpoints, func(idle idleEndpoint) bool { return s.idleCloseAt(now, idle) <= now })
+	ep := s.idleEndpoints[dueIndex].endpoint
+	s.idleEndpoints = slices.Delete(s.idleEndpoints, dueIndex, dueIndex+1)
+	return Decision{Action: CloseIdle, Endpoint: ep.id}
+}
+
+// admit takes a new notification into the queue of its destination, or throttles it if there is no room. One that was restored is
+// always taken.
+func (s *Scheduler) admit(now float64, dest *destination, ntf Notification) Decision {
+	h := &heldNotification{Notification: ntf, topic: s.topics[ntf.Topic], expiresAt: now + ntf.TimeLeft, mayHaveRunAt: never}
+	isFirstTry := ntf.TimeLeft > h.topic.TTL-firstTryMargin && !ntf.Restored
+	h.pushes, h.overQuota = ntf.Pushes, isFirstTry && s.overQuota(now, ntf.Tenant)
+	freeRoom := (1-reservedShare)*float64(s.capacity.MaxHeld) - float64(len(s.held))
+	// A notification that waits for its key needs room, but is not limited by the queue bound.
+	queuesBehindKey := freeRoom > 0 && h.ordered() && len(s.heldByKey[h.Key]) > 0
+	if !ntf.Restored && (!s.dir.KnownDest(dest.id) ||
+		!queuesBehindKey && len(dest.queue) >= s.queueBound(h) && !s.displace(now, dest, h)) {
+		return Decision{Action: Throttle, NotificationID: h.ID, RetryIn: s.retryIn(now, dest)}
+	}
+	if ntf.Restored {
+		s.applyHistory(now, dest, h)
+	}
+	s.held[h.ID] = h
+	if isFirstTry {
+		dest.arrivals = appendLast(dest.arrivals, now, maxPushSamples)
+	}
+	if h.ordered() {
+		s.heldByKey[h.Key] = append(s.heldByKey[h.Key], h)
+	}
+	s.takenCount, s.benefitSum = s.takenCount+1, s.benefitSum+h.topic.Benefit
+	h.sequence = s.takenCount
+	if h.finished, h.noticePending = ntf.NoticePending, ntf.NoticePending; !h.finished {
+		s.enqueue(dest, h)
+	}
+	return Decision{}
+}
+
+// applyHistory applies what an earlier process recorded of a notification: that it arrived, that its last push failed, and when one that
+// may have run was sent.
+func (s *Scheduler) applyHistory(now float64, dest *destination, h *heldNotification) {
+	s.staggerRestored(now, dest, h)
+	if h.LastPushFailed {
+		s.bindAfterRestart(now, h.Dest)
+	}
+	if h.FirstRunAt > 0 { // it may still run
+		h.mayHaveRunAt, h.keyBlockedUntil = h.FirstRunAt, now+s.policy.KeyCooldown
+		h.mayHaveRunZone = cmp.Or(h.FirstRunZone, s.listedZone(h.Dest, h.FirstRunEndpoint))
+	}
+	dest.arrivals = appendLast(dest.arrivals, min(now, h.arrivedAt()), maxPushSamples)
+}
+
+// startPush starts a push of h to an endpoint, in a call of its own or in one that started at the same time.
+func (s *Scheduler) startPush(now float64, dest *destination, h *heldNotification, entry directory.Endpoint) Decision {
+	t, ep := s.throttle(entry), s.endpoint(entry.ID)
 	ep.kind, dest.deficit = entry.Kind, dest.deficit-1
 	s.dequeue(dest, h)
-	pushWeight := sharedPushWeight
-	if c := s.joinableCall(now, *entry); c != nil {
-		c.size++
-		c.pending++
-		h.call = c
-	} else {
-		h.call = &call{endpoint: ep, throttle: t, startedAt: now, size: 1, pending: 1}
-		ep.calls = append(ep.calls, h.call)
-		if ep.lastCallStart > 0 {
-			ep.callGaps = appendLast(ep.callGaps, now-ep.lastCallStart, maxSamples)
-		}
-		ep.lastCallStart = now
-		t.inFlight++
-		s.callsInFlight++
-		t.allowance--
-		pushWeight = 1
-	}
-	t.sentPushes = appendLast(t.sentPushes, sample{now, pushWeight}, maxPushSamples)
+	s.joinCall(now, h, t, entry)
 	t.lastTrial, t.jitter = now, 0.5+s.rng.float()
 	h.pushes, h.lastSentAt, h.lastSentZone = h.pushes+1, now, entry.Zone
 	// The client counts the TTL from when it sent the notification, which is earlier than its arrival here. An answer in
@@ -188,6 +191,28 @@
 		NewConnection: h.topic.Repeat == OnceOnly && s.connectionsScarceUntil[entry.Kind] > now}
 }
 
+// joinCall puts a push into a call to the endpoint that started at the same time and has room, or into a new one.
+func (s *Scheduler) joinCall(now float64, h *heldNotification, t *throttle, entry directory.Endpoint) {
+	if c := s.joinableCall(now, entry); c != nil {
+		c.size++
+		c.pending++
+		h.call = c
+		t.sentPushes = appendLast(t.sentPushes, sample{now, sharedPushWeight}, maxPushSamples)
+		return
+	}
+	ep := s.endpoint(entry.ID)
+	h.call = &call{endpoint: ep, throttle: t, startedAt: now, size: 1, pending: 1}
+	ep.calls = append(ep.calls, h.call)
+	if ep.lastCallStart > 0 {
+		ep.callGaps = appendLast(ep.callGaps, now-ep.lastCallStart, maxSamples)
+	}
+	ep.lastCallStart = now
+	t.inFlight++
+	s.callsInFlight++
+	t.allowance--
+	t.sentPushes = appendLast(t.sentPushes, sample{now, 1}, maxPushSamples)
+}
+
 // HandleOutcome records how a push ended and decides what becomes of its notification: it is finished, given up, or queued
 // again. It also takes told waits that arrive after their push ended, and withdrawn notifications.
 func (s *Scheduler) HandleOutcome(now float64, outcome Outcome) Decision {
--- a/decide/health.go
+++ b/decide/health.go
@@ -119,22 +119,35 @@
 // recordFailure records a push that ended with an error, a timeout, or a failed connection, and decides whether its
 // destination is in an outage.
 func (s *Scheduler) recordFailure(now float64, c *call, h *heldNotification, outcome Outcome) {
-	t, ep := c.throttle, c.endpoint
 	if outcome.Result == NotConnected || outcome.Result == Reset {
-		s.connectionsScarceUntil[ep.kind] = now + s.policy.IdleTimeout
+		s.connectionsScarceUntil[c.endpoint.kind] = now + s.policy.IdleTimeout
 	}
 	s.bindAfterFailure(now, c)
-	if h.timeoutCut && outcome.Result == TimedOut { // a timeout cut short by the TTL says nothing about the endpoint
-		s.reportOutcome(c, outcome.Result, ReasonTimeoutCut, true)
+	if reason := s.whyNoEvidence(now, c, h, outcome); reason != "" {
+		s.reportOutcome(c, outcome.Result, reason, true)
 		return
 	}
+	s.reportOutcome(c, outcome.Result, ReasonFailure, false)
+	t, ep := c.throttle, c.endpoint
+	t.outcomes = appendLast(t.outcomes, sample{now, 1}, maxPushSamples)
+	t.lastFailure, t.lastFailureDuration = now, now-c.startedAt
+	if outcome.Result == Failed {
+		ep.lastAnswer = now
+	} else if outcome.Result != TimedOut || ep.lastAnswer < c.startedAt { // a single timeout among answers is disregarded
+		ep.setAsideUntil = now + setAsideBase + setAsideJitter*s.rng.float()
+	}
+	s.classifyFirstFailure(t, true)
+	s.ejectAfterFailure(now, c, h, outcome)
+}
+
+// whyNoEvidence returns why a failed push is no evidence of an outage, or "". It records the failure for the topic and the endpoint.
+func (s *Scheduler) whyNoEvidence(now float64, c *call, h *heldNotification, outcome Outcome) HealthReason {
+	ep := c.endpoint
+	if h.timeoutCut && outcome.Result == TimedOut { // it says nothing about the endpoint
+		return ReasonTimeoutCut
+	}
 	if outcome.Result == Failed || outcome.Result == TimedOut {
-		health := ep.topics[h.Topic]
-		// A single failure soon after a delivery is disregarded.
-		if health.failures++; health.failures > 1 || now-health.lastDelivery > topicServedSpan {
-			health.avoidedUntil = now + topicAvoidance*(1+s.rng.float())
-		}
-		ep.topics[h.Topic] = health
+		s.avoidForTopic(now, ep, h.Topic)
 	}
 	// Single connections break without an outage. Resets count only once the endpoint has been unusually silent since the first
 	// failure.
@@ -142,37 +155,43 @@
 		ep.firstFailure = now
 	}
 	if outcome.Result == Reset && now-ep.firstFailure < unusualSilenceGaps*smoothedMean(ep.answerGaps, 0) {
-		s.reportOutcome(c, outcome.Result, ReasonSingleReset, true)
-		return
+		return ReasonSingleReset
 	}
 	if c.failureCounted { // the notifications of a call share one failure
-		s.reportOutcome(c, outcome.Result, ReasonSharedCall, true)
-		return
+		return ReasonSharedCall
 	}
 	c.failureCounted = true
-	if c.startedAt < t.lastDeliveredSend { // a push that started later was delivered, so this failure shows no present outage
-		s.reportOutcome(c, outcome.Result, ReasonLaterDelivered, true)
-		return
+	if c.startedAt < c.throttle.lastDeliveredSend { // a push that started later was delivered, so this failure shows no present outage
+		return ReasonLaterDelivered
 	}
-	s.reportOutcome(c, outcome.Result, ReasonFailure, false)
-	t.outcomes = appendLast(t.outcomes, sample{now, 1}, maxPushSamples)
-	t.lastFailure, t.lastFailureDuration = now, now-c.startedAt
-	if outcome.Result == Failed {
-		ep.lastAnswer = now
-	} else if outcome.Result != TimedOut || ep.lastAnswer < c.startedAt { // a single timeout among answers is disregarded
-		ep.setAsideUntil = now + setAsideBase + setAsideJitter*s.rng.float()
+	return ""
+}
+
+// avoidForTopic avoids an endpoint for a topic that it failed. A single failure soon after a delivery is disregarded.
+func (s *Scheduler) avoidForTopic(now float64, ep *endpoint, topic string) {
+	health := ep.topics[topic]
+	if health.failures++; health.failures > 1 || now-health.lastDelivery > topicServedSpan {
+		health.avoidedUntil = now + topicAvoidance*(1+s.rng.float())
+	}
+	ep.topics[topic] = health
+}
+
+// ejectAfterFailure ejects the destination of a failed push if the failure shows an outage: nothing was delivered while the push was in
+// flight, and it is the second failure in a row, or at a separate route, or taken for one by its probability.
+func (s *Scheduler) ejectAfterFailure(now float64, c *call, h *heldNotification, outcome Outcome) {
+	t, ep := c.throttle, c.endpoint
+	if t.lastDelivery >= c.startedAt {
+		return
 	}
-	s.classifyFirstFailure(t, true)
 	failuresOfLastTwo := countFailures(t.outcomes[max(0, len(t.outcomes)-2):])
 	// An earlier push of the endpoint failed too, for example by a reset, and it has not answered since.
 	failedAgain := outcome.Result == NotConnected && ep.firstFailure > ep.lastAnswer && ep.firstFailure < now
-	// noDelivery: nothing was delivered while the push was in flight.
-	switch noDelivery := t.lastDelivery < c.startedAt; {
-	case noDelivery && (failuresOfLastTwo == 2 || failedAgain):
+	switch {
+	case failuresOfLastTwo == 2 || failedAgain:
 		s.eject(now, t, ReasonTwoFailures)
-	case noDelivery && s.routes.SeparateKinds[ep.kind]:
+	case s.routes.SeparateKinds[ep.kind]:
 		s.eject(now, t, ReasonSeparateRoute)
-	case noDelivery && s.rng.float() < s.outageProbability(now, c, h, outcome):
+	case s.rng.float() < s.outageProbability(now, c, h, outcome):
 		s.eject(now, t, ReasonLikelyOutage)
 	}
 }
