Mend: a push that was not sent uses nothing of this dispatcher's part

After the failed call, the message was dialled once more as its time ended and given back unsent; that push counted as the one that the part allowed, and at a destination of unknown rate the next had to wait up to a hundred spans while nothing was out that could end the wait. A push that is given back unsent is taken out of the count (Example_unsentPushUsesNoPart: 0 before, 1 now).

Example_outageIgnoredAfterRestart failed in the same run: its way to make the scheduler forget, a slow start long over, no longer does since slow start asks for three deliveries. It now tells the account alone; its figures are as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -250,6 +250,7 @@
 			s.recordOutcome(now, c, h, outcome)
 		} else if outcome.Unsent {
 			h.pushes--
+			c.throttle.forgetPush(c.startedAt)
 		} else if outcome.NoMorePushes {
 			h.pushes = s.policy.MaxPushes
 		}
--- a/decide/recovery_budget_test.go
+++ b/decide/recovery_budget_test.go
@@ -144,3 +144,16 @@
 	// 0.5 s: 9 of 9
 	// 5.0 s: 1 of 9
 }
+
+// Guards against a push that was not sent and yet uses up this dispatcher's part: the next one then waited for up to a hundred spans, while
+// nothing was out that could end the wait.
+func Example_unsentPushUsesNoPart() {
+	h := newHarnessWith(func(dep *deployment) { dep.recovery.Dispatchers = 1000 }, 12, 60, "A")
+	h.quiet = true
+	h.endNext(failed)
+	h.endNext(decide.Outcome{Result: decide.NotAttempted, Unsent: true})
+	h.runAt(h.now - 100)
+	fmt.Println(len(h.pushed), "sent at once")
+	// Output:
+	// 1 sent at once
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -176,6 +176,16 @@
 	return SlowStart
 }
 
+// forgetPush removes a push that was not sent, started at the given time, from those that count against the limits.
+func (t *throttle) forgetPush(startedAt float64) {
+	for i := len(t.sentPushes) - 1; i >= 0 && t.sentPushes[i].at >= startedAt; i-- {
+		if t.sentPushes[i].at == startedAt {
+			t.sentPushes = slices.Delete(t.sentPushes, i, i+1)
+			return
+		}
+	}
+}
+
 // firstFailureCounts counts how many first failures turned out to be part of an outage, and how many were isolated.
 type firstFailureCounts struct{ outages, isolated float64 }
 
--- a/gateway/recovery_test.go
+++ b/gateway/recovery_test.go
@@ -30,10 +30,12 @@
 			decide.Recovery{InitialCapacityShare: 0.2, WarmUp: 10, OverloadFactor: 2, OverloadSpan: 2, Dispatchers: 34},
 			decide.PushPolicy{MaxPushes: 8, Tick: 0.005, IdleTimeout: 10}, decide.TenantQuotas{}, false)
 		g := gateway.New(scheduler, dir, func(int) bool { return true }, nil, nil, 1.5)
-		g.SetRecoveryChecker(invariant.NewRecoveryChecker(counters))
-		g.RestoreRecovery(1000, []decide.RecoveryState{{Owner: "A", BoundSince: 995}})
+		checker := invariant.NewRecoveryChecker(counters)
+		g.SetRecoveryChecker(checker)
 		if ignored {
-			scheduler.RestoreRecovery(1000, []decide.RecoveryState{{Owner: "A", BoundSince: 980, RespondingSince: 981, FirstAnswer: 981}})
+			checker.Restored("A", 995, 0)
+		} else {
+			g.RestoreRecovery(1000, []decide.RecoveryState{{Owner: "A", BoundSince: 995}})
 		}
 		calls := 0
 		for i := range 10 {
