--- a/decide/recovery_budget_test.go
+++ b/decide/recovery_budget_test.go
@@ -151,6 +151,7 @@
 	h := newHarnessWith(func(dep *deployment) { dep.recovery.Dispatchers = 1000 }, 12, 60, "A")
 	h.quiet = true
 	h.endNext(failed)
+	h.now++
 	h.endNext(decide.Outcome{Result: decide.NotAttempted, Unsent: true})
 	h.runAt(h.now - 100)
 	fmt.Println(len(h.pushed), "sent at once")
