--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -191,6 +191,9 @@
 		}
 	}
 	result.Ends = ends
+	if c.Conn != nil && len(ends) > 0 && ends[0].Outcome().Unsent {
+		g.recoveryChecker.Unsent(g.recoveryOwner(c.Endpoint))
+	}
 	g.endPushes(now, c, carried, result)
 }
 
--- a/invariant/invariant_test.go
+++ b/invariant/invariant_test.go
@@ -141,6 +141,13 @@
 			r.Failed(5.5, 1.5, "A/", terms)
 			flood(r, 6)
 		}},
+		{"calls of which nothing was sent", false, func(r *RecoveryChecker) {
+			r.Failed(1, 0, "A/", terms)
+			for i := range 8 {
+				r.CheckSend(2+float64(i)/20, "m", "A/", "A", terms)
+				r.Unsent("A/")
+			}
+		}},
 		{"much of the traffic comes here", false, func(r *RecoveryChecker) {
 			for i := range 40 {
 				r.Arrived(float64(i)/10, "A")
@@ -160,6 +167,7 @@
 	none.Failed(1, 0, "A/", terms)
 	none.Delivered(1, 0, "A/", terms)
 	none.CheckSend(1, "m", "A/", "A", terms)
+	none.Unsent("A/")
 }
 
 // Each case violates one invariant on replies, and only that one must be counted; the first case violates none.
--- a/invariant/recovery.go
+++ b/invariant/recovery.go
@@ -123,6 +123,16 @@
 	}
 }
 
+// Unsent takes the latest call to a destination or route out of the account: nothing of it left this machine.
+func (r *RecoveryChecker) Unsent(throttle string) {
+	if r == nil || r.bound[throttle] == nil {
+		return
+	}
+	if b := r.bound[throttle]; len(b.calls) > 0 {
+		b.calls = b.calls[:len(b.calls)-1]
+	}
+}
+
 // rate returns the calls per second that all dispatchers together may send now.
 func (b *boundThrottle) rate(now float64, terms RecoveryTerms) float64 {
 	warmth := max(0, min(1, (now-b.deliveredAt+terms.WarmUp/2)/terms.WarmUp)) // the return may be half of WarmUp ago
