--- a/decide/health.go
+++ b/decide/health.go
@@ -103,14 +103,12 @@
 	// an outage. An outage that is reported as an exhausted limit is thus detected one refusal later.
 	limitExhausted := !s.routes.SeparateKinds[ep.kind] && outcome.LimitReported && outcome.LimitLeft <= ampleLimitLeft &&
 		t.consecutiveRefusals <= maxLimitRefusals
-	reason := ReasonRefusal
 	if limitExhausted {
-		reason = ReasonLimitExhausted
-	}
-	if !limitExhausted {
+		s.reportOutcome(c, outcome.Result, ReasonLimitExhausted, true)
+	} else {
 		t.budget.pushFailed(now, t.lastDeliveredSend)
+		s.reportOutcome(c, outcome.Result, ReasonRefusal, false)
 	}
-	s.reportOutcome(c, outcome.Result, reason, limitExhausted)
 	if !limitExhausted && now+wait-t.refusedSince > refusalOutageAfter || unlikelyLimit && t.refusedSince < now {
 		s.eject(now, t, ReasonRefusedLong)
 	}
--- a/decide/recovery.go
+++ b/decide/recovery.go
@@ -32,6 +32,6 @@
 
 // RecoveryTerms returns the terms of the destination, or separate route, of an endpoint.
 func (s *Scheduler) RecoveryTerms(entry directory.Endpoint) RecoveryTerms {
-	warm := s.recovery.OverloadFactor * s.destinationRate(entry, s.throttle(entry))
+	warm := s.warmRate(entry, s.throttle(entry))
 	return RecoveryTerms{ColdRate: s.recovery.InitialCapacityShare * warm, WarmRate: warm, Recovery: s.recovery}
 }
--- a/decide/slowstart.go
+++ b/decide/slowstart.go
@@ -57,7 +57,7 @@
 	if !t.budget.slowStartOver(now, s.recovery.WarmUp) {
 		return
 	}
-	warmBudget := s.recovery.OverloadFactor * s.destinationRate(entry, t) * s.recovery.OverloadSpan
+	warmBudget := s.warmRate(entry, t) * s.recovery.OverloadSpan
 	if float64(len(dest.queue)) > max(1, maxReleasedShare*warmBudget, s.recoveryRate(now, dest, entry, t)*s.recovery.OverloadSpan) {
 		return
 	}
@@ -65,6 +65,11 @@
 	s.reportHealth(t, HealthEvent{Previous: SlowStart, Reason: ReasonWarm})
 }
 
+// warmRate returns how many calls per second all dispatchers together may send to a destination that is warm.
+func (s *Scheduler) warmRate(entry directory.Endpoint, t *throttle) float64 {
+	return s.recovery.OverloadFactor * s.destinationRate(entry, t)
+}
+
 // bindAfterRestart limits pushes to a destination to which a push of an earlier process failed. It may be in an outage or just back
 // from one.
 func (s *Scheduler) bindAfterRestart(now float64, destID string) {
