Log: connections have numbers, and bytes that nobody asked for are logged and counted

The logs could not tell a desync: no line named a connection. Package exchange now owns a connection's state (idle, writing, awaiting, out of step), numbers connections and the requests on them, and logs unsolicited bytes with the moment, the request they met, the one before, the time since the last answer and their first bytes. Counters: connections_opened, connections_closed by why, unsolicited_bytes by when. What ends a call is unchanged.

--- a/dispatcher/process.go
+++ b/dispatcher/process.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"orchiddrift/directory"
+	"orchiddrift/exchange"
 	"orchiddrift/gateway"
 	"orchiddrift/intake"
 	"orchiddrift/invariant"
@@ -36,6 +37,7 @@
 	parts      components
 	state      *persistentState
 	errors     *syserr.Recorder
+	exchanges  *exchange.Recorder
 	invariants *invariant.Counters
 	agent      *platform.Agent
 	runner     *gateway.Runner
@@ -51,6 +53,7 @@
 	startup.enableLog(startup.log)
 	dir.Replace(cfg.Known.Endpoints())
 	p := &process{system: system, cfg: cfg, startup: startup, log: startup.log, parts: parts, errors: syserr.NewRecorder(startup.log),
+		exchanges:  exchange.NewRecorder(startup.log),
 		invariants: &invariant.Counters{Log: startup.log, Strict: system.PanicOnViolation}}
 	err = startup.retry("folder", func() (err error) {
 		p.state, err = openState(system, cfg, p.log, time.Since(startup.startedAt) > clockRetryTimeout)
@@ -60,7 +63,7 @@
 		return nil, err
 	}
 	p.agent = platform.NewAgent(cfg.Discovery, cfg.Known.Version, p.log)
-	p.agent.SetDialer(retryingDialer(system.DialAgent, p.errors, syserr.AgentDial, syserr.AgentRead, syserr.AgentWrite))
+	p.agent.SetDialer(p.dialer(exchange.Agent, system.DialAgent, syserr.AgentDial, syserr.AgentRead, syserr.AgentWrite))
 	p.runner = p.newRunner(dir)
 	return p, nil
 }
@@ -76,7 +79,7 @@
 		Tick:          p.parts.tick,
 		Log:           p.log,
 		Events:        make(chan gateway.Event, eventQueueSize),
-		Dialer:        retryingDialer(p.system.Dial, p.errors, syserr.Dial, syserr.EndpointRead, syserr.EndpointSend),
+		Dialer:        p.dialer(exchange.Endpoint, p.system.Dial, syserr.Dial, syserr.EndpointRead, syserr.EndpointSend),
 		WritePerEvent: p.cfg.Ledger.Sync == syncAlways,
 		Metrics:       gateway.NewMetrics(),
 		Replies:       invariant.NewReplyChecker(p.invariants),
@@ -160,21 +163,23 @@
 	server.SetMetrics(p.invariants, func(w io.Writer) {
 		p.runner.Metrics.Write(w)
 		p.errors.Write(w)
+		p.exchanges.Write(w)
 	})
 	return server
 }
 
-// retryingDialer returns a dialer whose connections try failed calls again, and that records failed dials and calls.
-func retryingDialer(dial func(string, time.Duration) (net.Conn, error), errs *syserr.Recorder, dialCall, readCall, writeCall syserr.Call) push.Dialer {
+// dialer returns a dialer for connections to a kind of peer. The connections try failed calls again and report unsolicited
+// bytes. Failed dials and calls are recorded under the given names.
+func (p *process) dialer(peer exchange.Peer, dial func(string, time.Duration) (net.Conn, error), dialCall, readCall, writeCall syserr.Call) push.Dialer {
 	return func(address string, timeout time.Duration) (net.Conn, error) {
 		conn, err := dial(address, timeout)
 		if err != nil {
 			if syserr.Local(err) {
-				errs.Failed(dialCall, address, err)
+				p.errors.Failed(dialCall, address, err)
 			}
 			return nil, err
 		}
-		return sock.NewRetryingConn(conn, errs, readCall, writeCall), nil
+		return exchange.New(sock.NewRetryingConn(conn, p.errors, readCall, writeCall), peer, p.exchanges), nil
 	}
 }
 
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// withCallFields adds the fields of a message's push to a log line: message, call, endpoint, and the limit that the
-// endpoint reported.
+// withCallFields adds the fields of a message's push to a log line: message, call, endpoint, the limit that the endpoint
+// reported, and the connection with the number of requests that were begun on it.
 func withCallFields(line *zerolog.Event, c *Call, m *message.Message, result push.CallResult) *zerolog.Event {
 	if result.HasLoadReport {
 		line = line.Float64("share", result.LoadShare).Float64("limit", result.LoadLimit)
@@ -37,6 +37,9 @@
 	if c.ID > 0 {
 		line = line.Uint64("call", c.ID)
 	}
+	if c.Conn != nil {
+		line = line.Uint64("conn", c.Conn.ID()).Int("on_conn", c.Conn.Requests())
+	}
 	return line.Str("ntf", m.ID).Str("topic", m.Topic).Str("dest", m.Dest).Str("endpoint", c.Endpoint.ID)
 }
 
--- a/push/call.go
+++ b/push/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"orchiddrift/exchange"
 	"orchiddrift/message"
 )
 
@@ -62,19 +63,19 @@
 	defer fasthttp.ReleaseResponse(resp)
 	timeout = math.Floor(timeout*1000) / 1000 // as X-Budget announces it; the endpoint disregards a response that it sent later
 	encodeRequest(req, c.addr, messages, timeout)
-	end, reusable := c.exchange(req, resp, len(messages) == 1, time.Now().Add(toDuration(timeout)))
+	end, reusable := c.exchange(messages[0].ID, req, resp, len(messages) == 1, time.Now().Add(toDuration(timeout)))
 	abandoned := end == ResponseTimeout || end == InvalidResponse && !reusable
 	if abandoned {
 		c.closeWrite()
 	} else if !reusable {
-		c.Close()
+		c.closeFor(closeReason(end))
 	}
 	if end == Rejected && len(messages) > 1 {
 		end = BatchRejected
 	}
 	result := UniformResult(len(messages), end)
 	if result.LateResponsePending = abandoned; end == InvalidResponse {
-		result.RawPrefix = c.rawPrefix()
+		result.RawPrefix = c.conn.Prefix()
 	}
 	if end > InvalidResponse {
 		return result
@@ -88,6 +89,17 @@
 	return result
 }
 
+// closeReason returns the reason for which a connection is closed after a call that ended in the given way.
+func closeReason(end End) exchange.CloseReason {
+	switch {
+	case end < InvalidResponse:
+		return exchange.ClosedAnswered
+	case end == WriteFailed || end == NoSocket:
+		return exchange.ClosedNotSent
+	}
+	return exchange.ClosedUnanswered
+}
+
 // encodeRequest fills in the request: /hook for a single message, /hook/batch with a JSON list for several. X-Budget
 // announces the timeout, which is in seconds, to the endpoint.
 func encodeRequest(req *fasthttp.Request, addr string, messages []*message.Message, timeout float64) {
--- a/push/conn.go
+++ b/push/conn.go
@@ -3,18 +3,16 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"math"
 	"net"
 	"os"
 	"regexp"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"orchiddrift/exchange"
 	"orchiddrift/syserr"
 )
 
@@ -40,13 +38,11 @@
 // Conn is a connection to an endpoint. Close may be called concurrently with the other methods; these must not be called
 // concurrently with each other.
 type Conn struct {
-	addr     string // host and port of the endpoint
-	conn     net.Conn
-	reader   *bufio.Reader
-	writer   *bufio.Writer
-	recorder *prefixRecorder // reader reads through it; nil if nothing is recorded
-	closed   atomic.Bool     // Close was called
-	writeBy  time.Time       // latest time for the last byte of the next request; zero for none
+	addr    string // host and port of the endpoint
+	conn    *exchange.Conn
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	writeBy time.Time // latest time for the last byte of the next request; zero for none
 }
 
 // maxWriteRetry limits the time in which a request is written again after a local error. A request that is written later might reach
@@ -63,40 +59,11 @@
 
 // limitWriteRetry ends the attempts to write a request again after maxWriteRetry, or at writeBy if that is earlier.
 func (c *Conn) limitWriteRetry() {
-	retrying, ok := c.conn.(interface{ LimitWriteRetry(time.Time) })
-	if !ok {
-		return
-	}
 	until := time.Now().Add(maxWriteRetry)
 	if !c.writeBy.IsZero() && c.writeBy.Before(until) {
 		until = c.writeBy
 	}
-	retrying.LimitWriteRetry(until)
-}
-
-// maxRawPrefix is the maximum number of bytes of an invalid response that are kept for the log.
-const maxRawPrefix = 256
-
-// prefixRecorder is a connection that records the first bytes read from it since length was last set to 0.
-type prefixRecorder struct {
-	net.Conn
-	prefix [maxRawPrefix]byte
-	length int // number of bytes recorded
-}
-
-// Read reads from the connection and records the bytes while prefix has room.
-func (r *prefixRecorder) Read(b []byte) (int, error) {
-	n, err := r.Conn.Read(b)
-	r.length += copy(r.prefix[r.length:], b[:n])
-	return n, err
-}
-
-// rawPrefix returns a copy of the recorded first bytes of the current response.
-func (c *Conn) rawPrefix() []byte {
-	if c.recorder == nil {
-		return nil
-	}
-	return bytes.Clone(c.recorder.prefix[:c.recorder.length])
+	c.conn.LimitWriteRetry(until)
 }
 
 // Dialer opens a TCP connection to an address within a timeout.
@@ -117,11 +84,22 @@
 	if err != nil {
 		return nil, endOfDialError(err)
 	}
-	recorder := &prefixRecorder{Conn: conn}
-	return &Conn{addr: addr, conn: conn, reader: bufio.NewReaderSize(recorder, 4<<10),
-		writer: bufio.NewWriterSize(conn, 4<<10), recorder: recorder}, Delivered
+	return newConn(addr, conn), Delivered
+}
+
+// newConn returns a connection to the endpoint with an address. conn may be an exchange.Conn already.
+func newConn(addr string, conn net.Conn) *Conn {
+	owned, ok := conn.(*exchange.Conn)
+	if !ok {
+		owned = exchange.New(conn, exchange.Endpoint, nil)
+	}
+	return &Conn{addr: addr, conn: owned, reader: bufio.NewReaderSize(owned, bufferSize),
+		writer: bufio.NewWriterSize(owned, bufferSize)}
 }
 
+// bufferSize is the size of a connection's buffers for reading and for writing, in bytes.
+const bufferSize = 4 << 10
+
 // endOfDialError returns the end of a push whose connection failed with the given error.
 func endOfDialError(err error) End {
 	if syserr.Local(err) {
@@ -135,34 +113,28 @@
 }
 
 // Alive reports whether an idle connection can still be used: the endpoint has neither closed it nor written to it.
-func (c *Conn) Alive() bool {
-	raw, err := c.conn.(syscall.Conn).SyscallConn()
-	if err != nil || c.reader.Buffered() > 0 {
-		return false
-	}
-	alive := false
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		alive = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && alive
-}
+func (c *Conn) Alive() bool { return c.reader.Buffered() == 0 && c.conn.Silent() }
+
+// ID returns the number of the connection, which is unique in the process.
+func (c *Conn) ID() uint64 { return c.conn.ID() }
+
+// Requests returns how many requests were begun on the connection.
+func (c *Conn) Requests() int { return c.conn.Requests() }
 
 // Addr returns the address of the endpoint.
 func (c *Conn) Addr() string { return c.addr }
 
 // Close closes the connection. A call in progress on it ends as Cancelled.
-func (c *Conn) Close() {
-	c.closed.Store(true)
-	_ = c.conn.Close()
-}
+func (c *Conn) Close() { c.closeFor(exchange.ClosedUnused) }
+
+// closeFor closes the connection for a reason.
+func (c *Conn) closeFor(reason exchange.CloseReason) { _ = c.conn.CloseFor(reason) }
 
 // closeWrite shuts down the write side of the connection, so that the endpoint can detect that the call was abandoned.
 // ReadLateRetryAfter can still read a response that is on its way. A connection that cannot be half closed is closed.
 func (c *Conn) closeWrite() {
-	if halfCloser, ok := c.conn.(interface{ CloseWrite() error }); !ok || halfCloser.CloseWrite() != nil {
-		c.Close()
+	if c.conn.CloseWrite() != nil {
+		c.closeFor(exchange.ClosedGivenUp)
 	}
 }
 
@@ -172,7 +144,7 @@
 // wait applies from then on, and without it the next call would violate that wait. A told wait is missed if the endpoint
 // detects the half close only after lateResponseTimeout and responds after that.
 func (c *Conn) ReadLateRetryAfter() float64 {
-	defer c.Close()
+	defer c.closeFor(exchange.ClosedGivenUp)
 	_ = c.conn.SetReadDeadline(time.Now().Add(lateResponseTimeout))
 	for {
 		buffered, _ := c.reader.Peek(c.reader.Buffered())
@@ -185,16 +157,14 @@
 	}
 }
 
-// exchange writes a request and reads its response until the deadline. It also reports whether the connection can carry
+// exchange writes a request and reads its response until the deadline. The label names the request in the log. It also reports whether the connection can carry
 // another call. A malformed or truncated response gives InvalidResponse whatever its status code, since the push may have
 // run. The exception is a call with a single message: it counts as delivered once the status line with status 200 was read.
-func (c *Conn) exchange(req *fasthttp.Request, resp *fasthttp.Response, singleMessage bool, deadline time.Time) (End, bool) {
+func (c *Conn) exchange(label string, req *fasthttp.Request, resp *fasthttp.Response, singleMessage bool, deadline time.Time) (End, bool) {
 	if c.conn.SetDeadline(deadline) != nil {
 		return WriteFailed, false
 	}
-	if c.recorder != nil {
-		c.recorder.length = 0
-	}
+	c.conn.Begin(label)
 	c.limitWriteRetry()
 	err := req.Write(c.writer)
 	if err == nil {
@@ -206,9 +176,10 @@
 	case err != nil:
 		return WriteFailed, false
 	}
+	c.conn.Written()
 	if err := c.awaitFirstByte(deadline); err != nil {
 		switch {
-		case c.closed.Load():
+		case c.conn.Closed():
 			return Cancelled, false
 		case deadlineExceeded(err):
 			return ResponseTimeout, false
@@ -232,13 +203,14 @@
 		err = c.readBody(resp)
 	}
 	if err == nil {
-		err = c.conn.SetDeadline(time.Time{}) // with an expired deadline, Alive would report false for the idle connection
-		return endOfResponse(resp), err == nil && !resp.ConnectionClose() && c.reader.Buffered() == 0
+		extra, _ := c.reader.Peek(c.reader.Buffered())
+		c.conn.Answered(extra)
+		return endOfResponse(resp), !resp.ConnectionClose() && len(extra) == 0
 	}
 	switch {
 	case singleMessage && statusOK:
 		return Delivered, false
-	case c.closed.Load():
+	case c.conn.Closed():
 		return Cancelled, false
 	}
 	return InvalidResponse, false
--- a/push/cuts_test.go
+++ b/push/cuts_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -37,7 +36,7 @@
 // resultOf returns the result of a call with count messages, sent over a scriptedConn with the response and the read error.
 func resultOf(response string, readErr error, count int) CallResult {
 	s := &scriptedConn{response: strings.NewReader(response), readErr: readErr}
-	c := &Conn{addr: "e1:80", conn: s, reader: bufio.NewReader(s), writer: bufio.NewWriter(&bytes.Buffer{})}
+	c := newConn("e1:80", s)
 	var messages []*message.Message
 	for i := range count {
 		m := &message.Message{Body: []byte("hello")}
--- a/push/stall_test.go
+++ b/push/stall_test.go
@@ -1,8 +1,6 @@
 package push
 
 import (
-	"bufio"
-	"bytes"
 	"fmt"
 	"net"
 	"time"
@@ -25,7 +23,7 @@
 // suspended: it cannot determine whether the response arrived in time. The call must end as ResponseTimeout.
 func Example_stalledProcess() {
 	s := &stalledConn{}
-	c := &Conn{addr: "e1:80", conn: s, reader: bufio.NewReader(s), writer: bufio.NewWriter(&bytes.Buffer{})}
+	c := newConn("e1:80", s)
 	fmt.Println(c.Send([]*message.Message{{Body: []byte("hello")}}, 0.02).Ends)
 	// Output:
 	// [silent]
