--- a/lab/agent/agent.go
+++ b/lab/agent/agent.go
@@ -6,10 +6,12 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"orchiddrift/lab/loop"
@@ -26,6 +28,8 @@
 	versions     []listVersion
 	servers      []*http.Server
 	stop         chan struct{} // closed by Close
+	lostMu       sync.Mutex
+	lost         *rand.Rand // draws which requests with notices are ignored; guarded by lostMu
 }
 
 // listVersion holds the entries that change with one version of the list. The first version holds the whole list.
@@ -64,7 +68,8 @@
 // until the old one closes. endpointAddr returns an endpoint's address.
 func Start(world *scenario.World, journal *record.Journal, clock *loop.Clock, network loop.Network,
 	endpointAddr func(scenario.Endpoint) string) (*Agents, error) {
-	a := &Agents{world: world, journal: journal, clock: clock, endpointAddr: endpointAddr, stop: make(chan struct{})}
+	a := &Agents{world: world, journal: journal, clock: clock, endpointAddr: endpointAddr, stop: make(chan struct{}),
+		lost: rand.New(rand.NewPCG(world.Seed, lostStream))}
 	a.planVersions()
 	for i := range world.Dispatchers.Count {
 		oldServer, err := a.startServer(i, network.AgentAddr(i))
@@ -92,8 +97,10 @@
 	mux.HandleFunc("GET /catalog/members", func(rw http.ResponseWriter, r *http.Request) { a.handleMembers(dispatcher, rw, r) })
 	mux.HandleFunc("POST /v1/notices", func(rw http.ResponseWriter, r *http.Request) { a.handleNotices(dispatcher, rw, r) })
 	s := &agentServer{ln, &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}}
+	follow := a.newFollower(dispatcher)
+	s.server.ConnState = follow.connState
 	a.servers = append(a.servers, s.server)
-	go func() { _ = s.server.Serve(ln) }() // returns once the server is closed
+	go func() { _ = s.server.Serve(recordingListener{ln}) }() // returns once the server is closed
 	return s, nil
 }
 
@@ -298,6 +305,9 @@
 
 // handleNotices accepts notices, one JSON object a line, and records them in the journal.
 func (a *Agents) handleNotices(dispatcher int, rw http.ResponseWriter, r *http.Request) {
+	if a.losesNotices(dispatcher) {
+		panic(http.ErrAbortHandler) // the server closes the connection
+	}
 	var notices []record.Notice
 	scanner := bufio.NewScanner(r.Body)
 	for scanner.Scan() {
--- a/lab/behaviour/behaviour.go
+++ b/lab/behaviour/behaviour.go
@@ -40,6 +40,8 @@
 	LoadShare     float64 // share of the limit that is left, 0 to 1
 	LoadLimit     float64 // calls per second
 	Cause         string  // the fault, full queue or collapse behind the outcome; empty for none and for the rate limit
+
+	Unsolicited []Unsolicited // what the endpoint writes on the connection after the answer
 }
 
 // Partner is the system of one destination. It is not safe for concurrent use.
@@ -113,6 +115,13 @@
 // HandleCall returns the outcome of a call whose last byte arrives at the endpoint with the given index at the time now.
 func (p *Partner) HandleCall(now float64, index int, c Call) Outcome {
 	e := p.spec.Endpoints[index]
+	outcome := p.serve(now, e, c)
+	outcome.Unsolicited = p.drawUnsolicited(now, e, c)
+	return outcome
+}
+
+// serve returns the outcome of a call without what may follow its answer.
+func (p *Partner) serve(now float64, e scenario.Endpoint, c Call) Outcome {
 	random := p.random(c.IDs[0], c.PreviousCalls)
 	if !p.world.InOutage(p.spec.Dest, now) && p.world.CapacityShare(p.spec.Dest, now) < 1 && p.overload.AddCall(now) {
 		p.collapsed = true
--- a/lab/partner/conn.go
+++ b/lab/partner/conn.go
@@ -34,6 +34,7 @@
 	peerClosed chan struct{} // closed when the reader stops: the peer closed the connection, or reading failed
 	closed     chan struct{} // closed by shutDown
 	closeOnce  sync.Once
+	history    *behaviour.AnswerHistory
 }
 
 // inboundCall is a call received on a connection.
@@ -46,7 +47,7 @@
 // newConn returns a connection that l has accepted. id is its number among the connections of the run.
 func newConn(l *listener, c *net.TCPConn, id int) *conn {
 	return &conn{TCPConn: c, listener: l, id: id, calls: make(chan *inboundCall, 1), peerClosed: make(chan struct{}),
-		closed: make(chan struct{})}
+		closed: make(chan struct{}), history: behaviour.NewAnswerHistory(c)}
 }
 
 // shutDown closes the connection and removes it from its listener. It may be called more than once.
@@ -310,7 +311,9 @@
 		})
 	}
 	if encoded.TruncateAt == 0 {
-		_, err := c.Write(encoded.Bytes)
+		_, err := c.history.Write(encoded.Bytes)
+		c.history.Answered(encoded.Bytes)
+		c.history.WriteLater(outcome.Unsolicited)
 		return err == nil && !encoded.CloseDelimited
 	}
 	_, _ = c.Write(encoded.Bytes[:encoded.TruncateAt])
--- a/lab/scenario/read.go
+++ b/lab/scenario/read.go
@@ -210,9 +210,8 @@
 		if t.Kind == SignalSeries {
 			t.SignalCount = max(t.SignalCount, 1)
 		}
-		if t.Count == 0 {
-			t.Count = 1
-		}
+		t.Count, t.Copies = max(t.Count, 1), max(t.Copies, 1)
+		t.MaxLag = max(t.MaxLag, t.MinLag)
 	}
 }
 
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -150,30 +150,35 @@
 
 // The kinds of trouble.
 const (
-	RefuseConnections = "refuse"    // endpoints accept no connections
-	Hang              = "hang"      // endpoints accept calls and never answer
-	FailCalls         = "errors"    // a share of the notifications in calls fails; status 500 when all of a call fail
-	SlowAnswers       = "slow"      // service times are multiplied by the factor
-	LoseAnswers       = "lost"      // a share of calls is executed and never answered
-	ResetConnections  = "reset"     // a share of calls is executed, then the connection is reset instead of an answer
-	BreakReused       = "reused"    // a share of calls on reused connections has its connection reset before it is executed
-	LateAnswers       = "late"      // a share of calls is executed and answered after the earliest TTL in it: counts as no answer
-	TruncateAnswers   = "cut"       // a share of answers is truncated
-	CorruptAnswers    = "spoil"     // a share of answers cannot be parsed
-	CloseAfterAnswer  = "close"     // after a share of good answers the connection is closed, without a Connection: close header
-	RejectAll         = "shut"      // endpoints reject all calls; when announced, with a told wait until the end of the trouble
-	ChangeLimit       = "limit"     // the rate limit is multiplied by the factor
-	Drain             = "drain"     // endpoints drain, are removed, and are replaced
-	Kill              = "kill"      // dispatchers get SIGKILL and are started again
-	Restart           = "restart"   // dispatchers get SIGTERM and are started again
-	Stall             = "stall"     // dispatchers are suspended with SIGSTOP and resumed with SIGCONT
-	ListDown          = "list-down" // the agent does not answer requests for the list
-	ListSlow          = "list-slow" // the agent delays each answer with the list by the factor, in seconds
-	SignalSeries      = "series"    // dispatchers are killed, terminated and stalled in succession, also while they start
-	MoveAgent         = "move"      // the agent's address changes: dispatchers get a new configuration and SIGHUP
-	Surge             = "surge"     // the load is multiplied by the factor
-	HotClient         = "hot"       // one client process sends additional load, the factor times the rate
-	BusyDisk          = "busy-disk" // another process writes to the disk of the dispatchers' state directories
+	RefuseConnections = "refuse"      // endpoints accept no connections
+	Hang              = "hang"        // endpoints accept calls and never answer
+	FailCalls         = "errors"      // a share of the notifications in calls fails; status 500 when all of a call fail
+	SlowAnswers       = "slow"        // service times are multiplied by the factor
+	LoseAnswers       = "lost"        // a share of calls is executed and never answered
+	ResetConnections  = "reset"       // a share of calls is executed, then the connection is reset instead of an answer
+	BreakReused       = "reused"      // a share of calls on reused connections has its connection reset before it is executed
+	LateAnswers       = "late"        // a share of calls is executed and answered after the earliest TTL in it: counts as no answer
+	TruncateAnswers   = "cut"         // a share of answers is truncated
+	CorruptAnswers    = "spoil"       // a share of answers cannot be parsed
+	CloseAfterAnswer  = "close"       // after a share of good answers the connection is closed, without a Connection: close header
+	CopyAnswers       = "copy"        // a share of answers is followed, on their connection, by copies of answers that were written there
+	StrayAnswers      = "stray"       // a share of answers is followed, on their connection, by answers that nobody asked for
+	RejectAll         = "shut"        // endpoints reject all calls; when announced, with a told wait until the end of the trouble
+	ChangeLimit       = "limit"       // the rate limit is multiplied by the factor
+	Drain             = "drain"       // endpoints drain, are removed, and are replaced
+	Kill              = "kill"        // dispatchers get SIGKILL and are started again
+	Restart           = "restart"     // dispatchers get SIGTERM and are started again
+	Stall             = "stall"       // dispatchers are suspended with SIGSTOP and resumed with SIGCONT
+	ListDown          = "list-down"   // the agent does not answer requests for the list
+	ListSlow          = "list-slow"   // the agent delays each answer with the list by the factor, in seconds
+	AgentCopies       = "agent-copy"  // a share of the agent's answers is followed, on their connection, by copies of answers written there
+	AgentStrays       = "agent-stray" // a share of the agent's answers is followed, on their connection, by answers that nobody asked for
+	AgentLost         = "agent-lost"  // a share of the requests with notices is ignored: the agent closes their connections
+	SignalSeries      = "series"      // dispatchers are killed, terminated and stalled in succession, also while they start
+	MoveAgent         = "move"        // the agent's address changes: dispatchers get a new configuration and SIGHUP
+	Surge             = "surge"       // the load is multiplied by the factor
+	HotClient         = "hot"         // one client process sends additional load, the factor times the rate
+	BusyDisk          = "busy-disk"   // another process writes to the disk of the dispatchers' state directories
 )
 
 // Trouble is one planned disturbance of a run: a fault of partners, dispatchers, agents or disks, or a change of the load.
@@ -193,6 +198,9 @@
 	ReturnsWarm  bool    `toml:"warm"`    // the destination has its full capacity at once when an outage ends
 	ListDelay    float64 `toml:"learned"` // drain: delay until the list shows it
 	SignalCount  int     `toml:"times"`   // series: number of signals within its duration
+	MinLag       float64 `toml:"lag"`     // copy, stray, agent-copy, agent-stray: shortest time from the answer to what follows it
+	MaxLag       float64 `toml:"max_lag"` // longest such time; not below lag
+	Copies       int     `toml:"copies"`  // copy, stray, agent-copy, agent-stray: how many follow an answer
 }
 
 // End returns when the trouble ends.
