Mend: a connection to an endpoint carries a single call

Callers saw messages lost, pushed again after their delivery, and out of turn. Cause: push.Conn.exchange takes the next response on a connection for the answer to what it wrote last, and a copy of an earlier answer, or an unasked one, that came between the last look and the answer ended the next call; from then on the connection was one answer behind. HTTP/1.1 has no name for an answer, so no look and no pause can tell whose a response is. Change: exchange.Conn carries one request (ErrUsed for another); before the last 4 KB of it are written it looks at the socket, and bytes or an end that come before leave the request incomplete, so that the call never ran. The idle connections that gateway keeps have carried no call. Invariant connection_used_twice, with an account of its own.

--- a/dispatcher/process.go
+++ b/dispatcher/process.go
@@ -89,6 +89,7 @@
 	margins := invariant.Margins{DrainGrace: p.parts.drainGrace, KeyHold: p.parts.scheduler.KeyCooldown()}
 	r.Gateway.SetSendChecker(invariant.NewSendChecker(p.invariants, margins, firstListBy))
 	r.Gateway.SetRecoveryChecker(invariant.NewRecoveryChecker(p.invariants))
+	r.Gateway.SetConnectionChecker(invariant.NewConnectionChecker(p.invariants))
 	r.Gateway.AdvanceCallID(p.state.ledger.LastCallNumber())
 	r.Gateway.AwaitFirstList(firstListBy)
 	return r
@@ -179,7 +180,11 @@
 			}
 			return nil, err
 		}
-		return exchange.New(sock.NewRetryingConn(conn, p.errors, readCall, writeCall), peer, p.exchanges), nil
+		retrying := sock.NewRetryingConn(conn, p.errors, readCall, writeCall)
+		if peer == exchange.Agent {
+			return retrying, nil
+		}
+		return exchange.New(retrying, peer, p.exchanges), nil
 	}
 }
 
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -1,8 +1,8 @@
 // Package exchange owns connections on which this process sends HTTP/1.1 requests.
 //
 // HTTP/1.1 has no name for an answer: it belongs to a request by its place on the connection alone. Bytes that come out of
-// turn, such as a second copy of an answer, would be taken for the answer to a later request. A Conn knows at each moment
-// whether bytes from the other side can belong to a request, and reports those that cannot.
+// turn, such as a second copy of an answer, would be taken for the answer to a later request. A Conn therefore carries a single
+// request, and sends it only while the other side has written nothing.
 package exchange
 
 import (
@@ -19,9 +19,10 @@
 
 // The states of a connection.
 const (
-	Idle      State = iota // no request is being written or answered
-	Writing                // a request is being written
-	Awaiting               // a request was written, and its answer was not read completely
+	Unused    State = iota // no request was begun
+	Writing                // the request is being written
+	Awaiting               // the request was written, and its answer was not read completely
+	Answered               // the answer was read completely
 	OutOfStep              // bytes came that belong to no request
 )
 
@@ -40,8 +41,8 @@
 
 // The moments at which unsolicited bytes are noticed.
 const (
-	WhileIdle   Moment = "idle"             // no request was on the connection
-	BeforeWrite Moment = "before the write" // the last part of a request was about to be written
+	WhileUnused Moment = "idle"             // no request was begun
+	BeforeWrite Moment = "before the write" // the last part of the request was about to be written
 	AfterAnswer Moment = "after the answer" // they followed an answer immediately
 	RequestCopy Moment = "request repeated" // a client's request came once more
 )
@@ -59,6 +60,9 @@
 	ClosedUnused      CloseReason = "not used any more"
 )
 
+// ErrUsed reports that a connection has carried a request.
+var ErrUsed = errors.New("the connection has carried a request")
+
 // ErrUnsolicited reports that bytes came before the request was written completely, so that they cannot be its answer. The
 // other side has not begun to carry out the request.
 var ErrUnsolicited = errors.New("unsolicited bytes before the request was written")
@@ -73,7 +77,7 @@
 // lastID is the ID of the connection that was opened last.
 var lastID atomic.Uint64
 
-// Conn is a connection on which requests are sent. Close may be called concurrently with the other methods; these must not be
+// Conn is a connection on which one request is sent. CloseFor may be called concurrently with the other methods; these must not be
 // called concurrently with each other.
 type Conn struct {
 	net.Conn
@@ -81,10 +85,8 @@
 	peer     Peer
 	recorder *Recorder
 	state    State
-	requests int       // requests that were begun
-	current  string    // label of the request that was begun last
-	previous string    // label of the request before it
-	changed  time.Time // when the connection was opened, or the last answer was read
+	request  string    // label of the request; empty before Begin
+	changed  time.Time // when the connection was opened, or the answer was read
 	prefix   [maxPrefix]byte
 	recorded int // bytes of prefix that are used
 	closed   atomic.Bool
@@ -97,21 +99,33 @@
 	return c
 }
 
+// Own returns conn itself if it is a Conn, or else a Conn that owns it and is not recorded.
+func Own(conn net.Conn, peer Peer) *Conn {
+	if owned, ok := conn.(*Conn); ok {
+		return owned
+	}
+	return New(conn, peer, nil)
+}
+
 // ID returns the number of the connection, which is unique in the process.
 func (c *Conn) ID() uint64 { return c.id }
 
-// Requests returns how many requests were begun on the connection.
-func (c *Conn) Requests() int { return c.requests }
-
-// Begin starts a request. The label names the request in the log.
-func (c *Conn) Begin(label string) {
-	c.requests++
-	c.previous, c.current = c.current, label
-	c.state, c.recorded = Writing, 0
+// Begin starts the request, which the label names in the log. It returns ErrUsed if there was one before: something that
+// belongs to that one may still come.
+func (c *Conn) Begin(label string) error {
+	if c.state != Unused {
+		return ErrUsed
+	}
+	c.state, c.request = Writing, label
+	return nil
 }
 
-// Write writes bytes of a request. Before the last lastPart of them it looks for unsolicited bytes.
+// Write writes bytes of the request. Before the last lastPart of them it looks whether the other side has written something or
+// has closed the connection: then it returns ErrUnsolicited or the error of the connection, and the request stays incomplete.
 func (c *Conn) Write(b []byte) (int, error) {
+	if c.state != Writing {
+		return 0, ErrUsed
+	}
 	first := max(0, len(b)-lastPart)
 	written := 0
 	if first > 0 {
@@ -120,7 +134,9 @@
 			return written, err
 		}
 	}
-	c.observe(BeforeWrite)
+	if err := c.observe(BeforeWrite); err != nil {
+		return written, err
+	}
 	n, err := c.Conn.Write(b[first:])
 	return written + n, err
 }
@@ -135,19 +151,20 @@
 	return n, err
 }
 
-// Prefix returns a copy of the first bytes that were read since the request was begun.
+// Prefix returns a copy of the first bytes that were read.
 func (c *Conn) Prefix() []byte { return append([]byte(nil), c.prefix[:c.recorded]...) }
 
-// Answered records that the answer was read completely. extra holds bytes that were read after its end.
-func (c *Conn) Answered(extra []byte) {
-	c.state, c.changed = Idle, time.Now()
+// ReadAnswer records that the answer was read completely. extra holds bytes that were read after its end.
+func (c *Conn) ReadAnswer(extra []byte) {
+	c.state, c.changed = Answered, time.Now()
 	if len(extra) > 0 {
 		c.unsolicited(AfterAnswer, extra)
 	}
 }
 
-// Silent reports whether the connection is idle and the other side has neither closed it nor written to it.
-func (c *Conn) Silent() bool { return c.state == Idle && c.observe(WhileIdle) == nil }
+// Usable reports whether the connection can carry the request: it was not used, and the other side has neither closed it nor
+// written to it.
+func (c *Conn) Usable() bool { return c.state == Unused && c.observe(WhileUnused) == nil }
 
 // observe looks for bytes that the other side has written, without reading them. It returns ErrUnsolicited if there are some,
 // and another error if the connection has ended.
@@ -199,8 +216,8 @@
 	if c.recorder == nil {
 		return
 	}
-	c.recorder.Unsolicited(Unsolicited{Peer: c.peer, Conn: c.id, Addr: c.RemoteAddr().String(), Moment: moment, Requests: c.requests,
-		Current: c.current, Previous: c.previous, After: time.Since(c.changed), Bytes: bytes})
+	c.recorder.Unsolicited(Unsolicited{Peer: c.peer, Conn: c.id, Addr: c.RemoteAddr().String(), Moment: moment, Request: c.request,
+		After: time.Since(c.changed), Bytes: bytes})
 }
 
 // CloseFor closes the connection and records the reason. Only the first call has an effect.
--- a/exchange/recorder.go
+++ b/exchange/recorder.go
@@ -10,15 +10,13 @@
 
 // Unsolicited describes bytes that belong to no request.
 type Unsolicited struct {
-	Peer     Peer
-	Conn     uint64 // number of the connection
-	Addr     string // of the other side
-	Moment   Moment
-	Requests int           // requests that were begun on the connection
-	Current  string        // label of the request that was begun last
-	Previous string        // label of the request before it
-	After    time.Duration // since the connection was opened, or its last answer was read
-	Bytes    []byte        // the first of the bytes
+	Peer    Peer
+	Conn    uint64 // number of the connection
+	Addr    string // of the other side
+	Moment  Moment
+	Request string        // label of the connection's request; empty before it
+	After   time.Duration // since the connection was opened, or its answer was read
+	Bytes   []byte        // the first of the bytes
 }
 
 // Recorder counts what happens on connections, and logs it. A nil Recorder does nothing. It is safe for concurrent use.
@@ -37,7 +35,7 @@
 	}
 	r.count("unsolicited_bytes", u.Peer, "when", string(u.Moment))
 	r.log.Warn().Str("peer", string(u.Peer)).Uint64("conn", u.Conn).Str("addr", u.Addr).Str("when", string(u.Moment)).
-		Int("requests", u.Requests).Str("request", u.Current).Str("before", u.Previous).Float64("after", u.After.Seconds()).
+		Str("request", u.Request).Float64("after", u.After.Seconds()).
 		Bytes("bytes", u.Bytes[:min(len(u.Bytes), maxPrefix)]).Msg("unsolicited bytes")
 }
 
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -102,13 +102,13 @@
 	return len(overflow) > 0
 }
 
-// takeIdleConn returns the most recently used idle connection to the endpoint that is alive and leads to its current
-// address, or nil if there is none.
+// takeIdleConn returns the newest idle connection to the endpoint that can carry a call and leads to its current address, or nil
+// if there is none.
 func (g *Gateway) takeIdleConn(e directory.Endpoint) *push.Conn {
 	for list := g.idleConns[e.ID]; len(list) > 0; list = g.idleConns[e.ID] {
 		conn := list[len(list)-1]
 		g.idleConns[e.ID] = list[:len(list)-1]
-		if conn.Addr() == e.Addr && conn.Alive() {
+		if conn.Addr() == e.Addr && conn.Usable() {
 			return conn
 		}
 		g.emit(CloseConn{conn})
@@ -153,6 +153,7 @@
 	g.lastCallID++
 	c.ID, c.Conn, c.sentAt = g.lastCallID, conn, now
 	t := g.throttleKeyOf(c.Endpoint)
+	g.connectionChecker.CallSent(conn.ID(), c.Messages[0].ID)
 	g.recoveryChecker.CheckSend(now, c.Messages[0].ID, g.recoveryOwner(c.Endpoint), c.Endpoint.Dest, g.recoveryTerms(c.Endpoint))
 	if calls, span, ok := g.scheduler.RecoveryBudget(now, c.Endpoint); ok {
 		g.checker.CheckRecovery(now, c.Messages[0].ID, t.String(), calls, span)
@@ -177,7 +178,8 @@
 
 // handleCallEnded applies the result of a call to each message that it still carries.
 func (g *Gateway) handleCallEnded(now float64, c *Call, result push.CallResult) {
-	if c.Conn != nil && result.Reusable {
+	if c.Conn != nil && result.NotSent {
+		g.connectionChecker.NotSent(c.Conn.ID())
 		g.keepIdleConn(c.Endpoint, c.Conn)
 	}
 	if result.RetryAfter > 0 {
@@ -280,7 +282,7 @@
 	return closed > 0
 }
 
-// keepIdleConn makes a connection available to later calls to the endpoint.
+// keepIdleConn makes a connection that has carried no call available to a later call to the endpoint.
 func (g *Gateway) keepIdleConn(e directory.Endpoint, conn *push.Conn) {
 	g.idleConns[e.ID] = append(g.idleConns[e.ID], conn)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,7 +35,7 @@
 	batchSize      map[string]int             // by kind: the maximum number of messages in a call
 	dialTimeout    float64                    // maximum time to establish a connection
 	pending        map[string]*pendingMessage // by message ID
-	idleConns      map[string][]*push.Conn    // by endpoint ID, most recently used last
+	idleConns      map[string][]*push.Conn    // by endpoint ID, newest last; they have carried no call
 	lastToldWait   map[throttleKey]float64    // by scope: time at which a wait was last told
 	settled        map[string]float64         // by ID of a settled message: end of its TTL
 	formingCalls   []*Call                    // calls of the current round
@@ -48,10 +48,11 @@
 	pausedUntil    float64                    // no push starts before this time
 	// Requests read until socketDelayUntil, shortly after a stall, may have waited in their sockets for up to socketDelay.
 	socketDelay, socketDelayUntil float64
-	effects                       []Effect                   // not returned to the caller yet
-	healthEvents                  []decide.HealthEvent       // of the scheduler, not returned to the caller yet
-	checker                       *invariant.SendChecker     // nil if sends are not checked
-	recoveryChecker               *invariant.RecoveryChecker // nil if they are not checked
+	effects                       []Effect                     // not returned to the caller yet
+	healthEvents                  []decide.HealthEvent         // of the scheduler, not returned to the caller yet
+	checker                       *invariant.SendChecker       // nil if sends are not checked
+	recoveryChecker               *invariant.RecoveryChecker   // nil if they are not checked
+	connectionChecker             *invariant.ConnectionChecker // nil if connections are not checked
 }
 
 // pendingMessage is an accepted message that is not settled yet.
@@ -83,6 +84,11 @@
 	g.recoveryChecker = checker
 }
 
+// SetConnectionChecker sets the checker that verifies that connections carry one call each.
+func (g *Gateway) SetConnectionChecker(checker *invariant.ConnectionChecker) {
+	g.connectionChecker = checker
+}
+
 // AdvanceCallID makes the numbers of later calls greater than last, so that no number in the ledger is used again.
 func (g *Gateway) AdvanceCallID(last uint64) { g.lastCallID = max(g.lastCallID, last) }
 
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -29,7 +29,7 @@
 }
 
 // withCallFields adds the fields of a message's push to a log line: message, call, endpoint, the limit that the endpoint
-// reported, and the connection with the number of requests that were begun on it.
+// reported, and the number of the connection.
 func withCallFields(line *zerolog.Event, c *Call, m *message.Message, result push.CallResult) *zerolog.Event {
 	if result.HasLoadReport {
 		line = line.Float64("share", result.LoadShare).Float64("limit", result.LoadLimit)
@@ -38,7 +38,7 @@
 		line = line.Uint64("call", c.ID)
 	}
 	if c.Conn != nil {
-		line = line.Uint64("conn", c.Conn.ID()).Int("on_conn", c.Conn.Requests())
+		line = line.Uint64("conn", c.Conn.ID())
 	}
 	return line.Str("ntf", m.ID).Str("topic", m.Topic).Str("dest", m.Dest).Str("endpoint", c.Endpoint.ID)
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -33,7 +33,7 @@
 	now := r.Clock()
 	if permit.StartCall(c.permitState(now)) != permit.Granted {
 		result := push.UniformResult(len(c.Messages), push.Withdrawn)
-		result.Reusable = true
+		result.NotSent = true
 		return result
 	}
 	c.Conn.WriteWithin(c.startBy - now)
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -238,7 +238,7 @@
 		return
 	}
 	result := push.UniformResult(len(e.Call.Messages), end)
-	result.Reusable = true
+	result.NotSent = true
 	r.step(CallEnded{e.Call, result})
 }
 
--- a/invariant/invariant.go
+++ b/invariant/invariant.go
@@ -36,6 +36,8 @@
 	SentOutOfOrder Name = "sent_out_of_key_order"
 	// SentBeforeList is a push before the first response of discovery.
 	SentBeforeList Name = "sent_before_first_list"
+	// ConnectionUsedTwice is a call on a connection to an endpoint that has carried another one.
+	ConnectionUsedTwice Name = "connection_used_twice"
 	// ClosedUnanswered is a client connection that the dispatcher closes although a request read from it has no response.
 	ClosedUnanswered Name = "closed_with_request_unanswered"
 	// AnsweredTwice is an answer to a request that has one already.
@@ -52,7 +54,7 @@
 
 // All lists the invariants in the order of the metrics.
 var All = []Name{SentAfterFinal, SentWhileInFlight, SentOutsideWindow, SentToLeaving, SentDuringWait, SentOverRecovery, SentOverPart,
-	SentOutOfOrder, SentBeforeList, ClosedUnanswered, ReadAfterClose, AnsweredTwice, ConfirmedUnwritten, EndedUnanswered, EndedUnwritten}
+	SentOutOfOrder, SentBeforeList, ConnectionUsedTwice, ClosedUnanswered, ReadAfterClose, AnsweredTwice, ConfirmedUnwritten, EndedUnanswered, EndedUnwritten}
 
 // Counters counts and logs violations. The zero value counts them without logging; a nil Counters does neither. It is safe
 // for concurrent use once Log and Strict are set.
--- a/invariant/invariant_test.go
+++ b/invariant/invariant_test.go
@@ -237,3 +237,23 @@
 		t.Error("nil Counters counted a violation")
 	}
 }
+
+// Guards against a connection checker that detects nothing: a second call on a connection is a violation, unless the first one was
+// not begun, and also after as many connections as fit into its memory.
+func TestConnectionUsedTwice(t *testing.T) {
+	counters := &Counters{}
+	checker := NewConnectionChecker(counters)
+	checker.CallSent(1, "m1")
+	checker.NotSent(1)
+	checker.CallSent(1, "m2")
+	for connection := range uint64(recentConnections - 1) {
+		checker.CallSent(connection+2, "m3")
+	}
+	if n := counters.Count(ConnectionUsedTwice); n != 0 {
+		t.Errorf("%d violations without a second call", n)
+	}
+	checker.CallSent(1, "m4")
+	if n := counters.Count(ConnectionUsedTwice); n != 1 {
+		t.Errorf("%d violations after a second call, want 1", n)
+	}
+}
--- a/push/call.go
+++ b/push/call.go
@@ -41,7 +41,7 @@
 	HasLoadReport       bool
 	LoadShare           float64
 	LoadLimit           float64
-	Reusable            bool   // the connection can carry another call
+	NotSent             bool   // the call was not begun: the connection can carry another one
 	RawPrefix           []byte // the first bytes of the response if the call ended as InvalidResponse
 	LateResponsePending bool   // the call was abandoned; the caller must call ReadLateRetryAfter, which closes the connection
 }
@@ -55,19 +55,19 @@
 	return result
 }
 
-// Send writes one call with the messages and waits up to timeout seconds for its response. A connection that cannot be
-// reused is closed, unless the result has LateResponsePending set: ReadLateRetryAfter closes it then.
+// Send writes one call with the messages and waits up to timeout seconds for its response. The connection is closed then,
+// unless the result has LateResponsePending set: ReadLateRetryAfter closes it.
 func (c *Conn) Send(messages []*message.Message, timeout float64) CallResult {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	timeout = math.Floor(timeout*1000) / 1000 // as X-Budget announces it; the endpoint disregards a response that it sent later
 	encodeRequest(req, c.addr, messages, timeout)
-	end, reusable := c.exchange(messages[0].ID, req, resp, len(messages) == 1, time.Now().Add(toDuration(timeout)))
-	abandoned := end == ResponseTimeout || end == InvalidResponse && !reusable
+	end := c.exchange(messages[0].ID, req, resp, len(messages) == 1, time.Now().Add(toDuration(timeout)))
+	abandoned := end == ResponseTimeout || end == InvalidResponse
 	if abandoned {
 		c.closeWrite()
-	} else if !reusable {
+	} else {
 		c.closeFor(closeReason(end))
 	}
 	if end == Rejected && len(messages) > 1 {
@@ -80,7 +80,6 @@
 	if end > InvalidResponse {
 		return result
 	}
-	result.Reusable = reusable
 	result.RetryAfter = parseSeconds(string(resp.Header.Peek("Retry-After")))
 	result.LoadShare, result.LoadLimit, result.HasLoadReport = parseLoadReport(string(resp.Header.Peek("X-Load-Report")))
 	if end == Delivered && len(messages) > 1 {
--- a/push/conn.go
+++ b/push/conn.go
@@ -1,4 +1,4 @@
-// Package push sends calls to endpoints over HTTP/1.1. A connection carries one call at a time, and no call is retried.
+// Package push sends calls to endpoints over HTTP/1.1. A connection carries one call, and no call is retried.
 package push
 
 import (
@@ -42,14 +42,14 @@
 	conn    *exchange.Conn
 	reader  *bufio.Reader
 	writer  *bufio.Writer
-	writeBy time.Time // latest time for the last byte of the next request; zero for none
+	writeBy time.Time // latest time for the last byte of the request; zero for none
 }
 
 // maxWriteRetry limits the time in which a request is written again after a local error. A request that is written later might reach
 // its endpoint during a wait that was told meanwhile, or after the endpoint has begun to drain.
 const maxWriteRetry = 50 * time.Millisecond
 
-// WriteWithin limits the time, in seconds from now, in which the next request has to be written.
+// WriteWithin limits the time, in seconds from now, in which the request has to be written.
 func (c *Conn) WriteWithin(seconds float64) {
 	c.writeBy = time.Time{}
 	if !math.IsInf(seconds, 1) {
@@ -89,10 +89,7 @@
 
 // newConn returns a connection to the endpoint with an address. conn may be an exchange.Conn already.
 func newConn(addr string, conn net.Conn) *Conn {
-	owned, ok := conn.(*exchange.Conn)
-	if !ok {
-		owned = exchange.New(conn, exchange.Endpoint, nil)
-	}
+	owned := exchange.Own(conn, exchange.Endpoint)
 	return &Conn{addr: addr, conn: owned, reader: bufio.NewReaderSize(owned, bufferSize),
 		writer: bufio.NewWriterSize(owned, bufferSize)}
 }
@@ -112,15 +109,13 @@
 	return ConnectFailed
 }
 
-// Alive reports whether an idle connection can still be used: the endpoint has neither closed it nor written to it.
-func (c *Conn) Alive() bool { return c.reader.Buffered() == 0 && c.conn.Silent() }
+// Usable reports whether the connection can carry a call: it has carried none, and the endpoint has neither closed it nor written
+// to it.
+func (c *Conn) Usable() bool { return c.conn.Usable() }
 
 // ID returns the number of the connection, which is unique in the process.
 func (c *Conn) ID() uint64 { return c.conn.ID() }
 
-// Requests returns how many requests were begun on the connection.
-func (c *Conn) Requests() int { return c.conn.Requests() }
-
 // Addr returns the address of the endpoint.
 func (c *Conn) Addr() string { return c.addr }
 
@@ -157,34 +152,27 @@
 	}
 }
 
-// exchange writes a request and reads its response until the deadline. The label names the request in the log. It also reports whether the connection can carry
-// another call. A malformed or truncated response gives InvalidResponse whatever its status code, since the push may have
+// exchange writes a request and reads its response until the deadline. The label names the request in the log. A malformed or truncated response gives InvalidResponse whatever its status code, since the push may have
 // run. The exception is a call with a single message: it counts as delivered once the status line with status 200 was read.
-func (c *Conn) exchange(label string, req *fasthttp.Request, resp *fasthttp.Response, singleMessage bool, deadline time.Time) (End, bool) {
+func (c *Conn) exchange(label string, req *fasthttp.Request, resp *fasthttp.Response, singleMessage bool, deadline time.Time) End {
 	if c.conn.SetDeadline(deadline) != nil {
-		return WriteFailed, false
-	}
-	c.conn.Begin(label)
-	c.limitWriteRetry()
-	err := req.Write(c.writer)
-	if err == nil {
-		err = c.writer.Flush()
+		return WriteFailed
 	}
+	err := c.writeRequest(label, req)
 	switch {
 	case syserr.Local(err): // for as long as it was tried again
-		return NoSocket, false
+		return NoSocket
 	case err != nil:
-		return WriteFailed, false
+		return WriteFailed
 	}
-	c.conn.Written()
 	if err := c.awaitFirstByte(deadline); err != nil {
 		switch {
 		case c.conn.Closed():
-			return Cancelled, false
+			return Cancelled
 		case deadlineExceeded(err):
-			return ResponseTimeout, false
+			return ResponseTimeout
 		}
-		return ConnectionLost, false
+		return ConnectionLost
 	}
 	err = c.readHead(resp, deadline)
 	for err == nil && resp.StatusCode() < fasthttp.StatusOK { // interim 1xx responses
@@ -204,16 +192,32 @@
 	}
 	if err == nil {
 		extra, _ := c.reader.Peek(c.reader.Buffered())
-		c.conn.Answered(extra)
-		return endOfResponse(resp), !resp.ConnectionClose() && len(extra) == 0
+		c.conn.ReadAnswer(extra)
+		return endOfResponse(resp)
 	}
 	switch {
 	case singleMessage && statusOK:
-		return Delivered, false
+		return Delivered
 	case c.conn.Closed():
-		return Cancelled, false
+		return Cancelled
 	}
-	return InvalidResponse, false
+	return InvalidResponse
+}
+
+// writeRequest writes a request. An error means that the endpoint has not got all of it, and has not begun the call.
+func (c *Conn) writeRequest(label string, req *fasthttp.Request) error {
+	if err := c.conn.Begin(label); err != nil {
+		return err
+	}
+	c.limitWriteRetry()
+	if err := req.Write(c.writer); err != nil {
+		return err
+	}
+	if err := c.writer.Flush(); err != nil {
+		return err
+	}
+	c.conn.Written()
+	return nil
 }
 
 // readBody reads the body of a response to its end. A chunked response ends with its trailer section. fasthttp may return a
