Mend: a connection to the agent carries a single request

Callers saw messages that were given up without a notice. Cause: fasthttp.HostClient looks at nothing before it uses a connection again, so a copy of a 204, or an unasked 400, was taken for the answer to the next notices, and a copy of an earlier list for that to the next watch.

--- a/dispatcher/process.go
+++ b/dispatcher/process.go
@@ -63,7 +63,7 @@
 		return nil, err
 	}
 	p.agent = platform.NewAgent(cfg.Discovery, cfg.Known.Version, p.log)
-	p.agent.SetDialer(p.dialer(exchange.Agent, system.DialAgent, syserr.AgentDial, syserr.AgentRead, syserr.AgentWrite))
+	p.agent.SetDialer(platform.Dialer(p.dialer(exchange.Agent, system.DialAgent, syserr.AgentDial, syserr.AgentRead, syserr.AgentWrite)))
 	p.runner = p.newRunner(dir)
 	return p, nil
 }
@@ -180,11 +180,7 @@
 			}
 			return nil, err
 		}
-		retrying := sock.NewRetryingConn(conn, p.errors, readCall, writeCall)
-		if peer == exchange.Agent {
-			return retrying, nil
-		}
-		return exchange.New(retrying, peer, p.exchanges), nil
+		return exchange.New(sock.NewRetryingConn(conn, p.errors, readCall, writeCall), peer, p.exchanges), nil
 	}
 }
 
