Mend: a request that comes twice on a client's connection gets one response

Callers would see a refused message counted as taken: a copy of a request, made on the way, got a response of its own, and the client, which has one request open at a time, took it for that to its next request; and the copy of a refused request was submitted again, under the ID that its client had been refused. Change: a connection remembers its last 16 answered IDs (a client gives each request a new one); a request with one of them is neither submitted nor answered, and is logged and counted as unsolicited bytes of a client. The response that the HTTP server makes is cut out of what it writes.

--- a/dispatcher/process.go
+++ b/dispatcher/process.go
@@ -161,6 +161,7 @@
 func (p *process) newServer() *intake.Server {
 	server := intake.NewServer(p.state.clock, p.parts.scheduler.TopicTTL, p.runner.Post, descriptorLimit(p.cfg.Limits.Sockets)/2, p.log)
 	server.SetErrorRecorder(p.errors)
+	server.SetExchangeRecorder(p.exchanges)
 	server.SetMetrics(p.invariants, func(w io.Writer) {
 		p.runner.Metrics.Write(w)
 		p.errors.Write(w)
--- a/intake/client.go
+++ b/intake/client.go
@@ -48,9 +48,11 @@
 	lastActivity         int         // limitListener.activityCount at the accept or the last response
 	requestID            string      // of the last request that was read completely
 	framer               framer
-	handledRequests      int           // number of requests passed to the handler
-	heardAt              time.Time     // when it was accepted, or bytes were last read or written
-	readDelay            time.Duration // how long reads of the current request have failed; only the goroutine that reads uses it
+	handledRequests      int              // number of requests passed to the handler
+	heardAt              time.Time        // when it was accepted, or bytes were last read or written
+	readDelay            time.Duration    // how long reads of the current request have failed; only the goroutine that reads uses it
+	answered             answeredRequests // only the goroutine that serves the connection uses it, as cutter
+	cutter               responseCutter
 	queuedFor            time.Duration // how long the connection may have waited to be accepted while accepts failed
 }
 
--- a/intake/client_io.go
+++ b/intake/client_io.go
@@ -182,9 +182,15 @@
 	}
 }
 
-// Write writes bytes of a response and records that the current request was answered.
+// Write writes bytes of a response, less the responses that are withheld, and records that the current request was answered.
 func (c *clientConn) Write(b []byte) (int, error) {
-	n, err := c.writeBytes(b)
+	n, err := len(b), error(nil)
+	if rest := c.cutter.cut(b); len(rest) > 0 {
+		_, err = c.writeBytes(rest)
+	}
+	if err != nil {
+		n = 0
+	}
 	c.listener.lock.Lock()
 	defer c.listener.lock.Unlock()
 	switch {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"orchiddrift/exchange"
 	"orchiddrift/gateway"
 	"orchiddrift/invariant"
 	"orchiddrift/message"
@@ -38,8 +39,9 @@
 	debugLog           zerolog.Logger                     // for each request and connection, at debug level
 	httpServer         *fasthttp.Server
 	listener           *limitListener
-	closeAfterResponse atomic.Bool     // keep-alives are disabled
-	writeMetrics       func(io.Writer) // writes further metrics at /_metrics; may be nil
+	closeAfterResponse atomic.Bool        // keep-alives are disabled
+	writeMetrics       func(io.Writer)    // writes further metrics at /_metrics; may be nil
+	exchanges          *exchange.Recorder // may be nil
 }
 
 // NewServer returns a server that passes each message to submit as a gateway.Arrived, and keeps at most maxConns connections
@@ -65,6 +67,9 @@
 // SetErrorRecorder sets what records failed system calls. It must be called before Serve.
 func (s *Server) SetErrorRecorder(errors *syserr.Recorder) { s.listener.errors = errors }
 
+// SetExchangeRecorder sets what records requests that came once more. It must be called before Serve.
+func (s *Server) SetExchangeRecorder(exchanges *exchange.Recorder) { s.exchanges = exchanges }
+
 // Serve serves connections from a listener until Close is called.
 func (s *Server) Serve(ln net.Listener) error {
 	if l, ok := ln.(interface{ SetErrorRecorder(*syserr.Recorder) }); ok {
@@ -110,11 +115,15 @@
 
 // handle answers a request according to its path and method.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	ok, closeAfter := ctx.Conn().(*clientConn).requestReceived(string(ctx.Request.Header.Peek("X-Call-Id")))
-	if (closeAfter || s.closeAfterResponse.Load()) && !ctx.Conn().(*clientConn).hasPipelinedRequests() {
+	c, id := ctx.Conn().(*clientConn), string(ctx.Request.Header.Peek("X-Call-Id"))
+	ok, closeAfter := c.requestReceived(id)
+	answeredAt, isCopy := c.answered.find(id)
+	if (closeAfter || s.closeAfterResponse.Load()) && !isCopy && !c.hasPipelinedRequests() {
 		ctx.SetConnectionClose()
 	}
 	switch path := string(ctx.Path()); {
+	case isCopy:
+		s.withholdResponse(ctx, c, id, time.Since(answeredAt))
 	case !ok: // the client does not receive the response: a message must not be accepted and delivered without its knowledge
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	case path == "/_health" && ctx.IsGet():
@@ -134,6 +143,15 @@
 	}
 }
 
+// withholdResponse sees to it that a request which was answered on the same connection some time before gets no second response.
+func (s *Server) withholdResponse(ctx *fasthttp.RequestCtx, c *clientConn, id string, after time.Duration) {
+	s.exchanges.Unsolicited(exchange.Unsolicited{Peer: exchange.Client, Addr: c.RemoteAddr().String(), Moment: exchange.RequestCopy,
+		Request: id, After: after, Bytes: ctx.Request.Header.RawHeaders()})
+	c.cutter.expect()
+	ctx.SetStatusCode(fasthttp.StatusAccepted)
+	ctx.Response.Header.Set(withheldHeader, "1")
+}
+
 // acceptMessage submits the message of a request to the gateway, waits for the reply, and answers the request accordingly.
 func (s *Server) acceptMessage(ctx *fasthttp.RequestCtx) {
 	m, err := s.decode(ctx)
@@ -144,6 +162,7 @@
 	reply := make(chan gateway.Reply, 1)
 	s.submit(gateway.Arrived{Message: m, Respond: func(r gateway.Reply) { reply <- r }})
 	r := <-reply
+	ctx.Conn().(*clientConn).answered.add(m.ID)
 	s.debugLog.Debug().Str("ntf", m.ID).Stringer("client", ctx.RemoteAddr()).Bool("taken", r.Accepted).Str("why", string(r.Reason)).
 		Float64("after", time.Since(ctx.Time()).Seconds()).Msg("request answered")
 	if r.Accepted {
