--- a/decide/decide.go
+++ b/decide/decide.go
@@ -56,10 +56,6 @@
 	firstTryMargin       = 0.1  // seconds by which the time left of a first try may be less than its TTL
 	quotaSpan            = 5.0  // seconds over which a tenant's use of its quota is measured
 
-	// defaultIdleTimeout is the time in seconds for which idle connections are kept while they are not scarce. A shorter idle
-	// timeout of the settings takes precedence, and so does a longer share of that timeout (see idleCloseAt).
-	defaultIdleTimeout = 5.0
-
 	paceWindow          = 0.5 // seconds, the length of the sliding window in which pushes are limited to the pace
 	resendSpread        = 1.2 // refused pushes of all dispatchers are spread over this many overload spans
 	unlikelyLimitSpread = 4.0 // factor on resendSpread after a refusal with much of the limit left
@@ -758,18 +754,3 @@
 	}
 	return next
 }
-
-// idleCloseAt returns when the idle connections to an endpoint are to be closed. An endpoint may limit its connections: idle
-// ones of many dispatchers can exclude others, or be closed unnoticed. While connections to endpoints of the kind are
-// scarce, because one was refused or broke recently, the idle timeout of the settings is divided among the dispatchers, and
-// connections are closed at once if the calls of this dispatcher are farther apart than that. Otherwise they are kept for
-// that share, or up to defaultIdleTimeout if that is longer.
-func (s *Scheduler) idleCloseAt(now float64, idle idleEndpoint) float64 {
-	keepOpen := s.evenShare(s.policy.IdleTimeout)
-	if s.connectionsScarceUntil[idle.endpoint.kind] <= now {
-		keepOpen = max(keepOpen, min(defaultIdleTimeout, cmp.Or(s.policy.IdleTimeout, defaultIdleTimeout)))
-	} else if keepOpen < smoothedMean(idle.endpoint.callGaps, defaultGap) {
-		keepOpen = 0
-	}
-	return idle.since + keepOpen
-}
--- a/decide/state.go
+++ b/decide/state.go
@@ -44,6 +44,7 @@
 	benefitSum             float64                             // sum of the benefits of all notifications taken
 	takenCount             int                                 // number of notifications taken
 	idleEndpoints          []idleEndpoint                      // endpoints that may have idle connections, longest idle first
+	dialTimes              []float64                           // how long, in seconds, the latest connections took to come up
 	connectionsScarceUntil map[string]float64                  // by kind: idle connections are closed early until then
 	observeHealth          func(HealthEvent)                   // nil for none
 }
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -91,7 +91,7 @@
 		if conn != nil {
 			g.sendCall(now, c, conn)
 		} else {
-			g.emit(Dial{c, min(g.dialTimeout, c.Remaining(now))})
+			g.emit(Dial{c, min(g.dialTimeout, c.Remaining(now)), g.scheduler.DialAgainAfter()})
 		}
 	}
 	overflow := g.overflowCalls
@@ -130,6 +130,7 @@
 		g.handleCallEnded(now, c, push.UniformResult(len(c.Messages), e.End))
 		return
 	}
+	g.scheduler.ConnectionUp(e.Took)
 	for _, m := range c.Messages {
 		if g.isOnCall(c, m) && g.pending[m.ID].startBy < now {
 			g.endPushes(now, c, []*message.Message{m}, push.UniformResult(1, push.Withdrawn))
@@ -282,6 +283,15 @@
 	return closed > 0
 }
 
+// handleSpareDialed keeps a connection that no call waits for, if its endpoint is still listed at its address.
+func (g *Gateway) handleSpareDialed(e SpareDialed) {
+	if listed, ok := g.directory.Find(e.Endpoint.Dest, e.Endpoint.ID); ok && listed.Addr == e.Conn.Addr() && !g.pushesStopped {
+		g.keepIdleConn(e.Endpoint, e.Conn)
+		return
+	}
+	g.emit(CloseConn{e.Conn})
+}
+
 // keepIdleConn makes a connection that has carried no call available to a later call to the endpoint.
 func (g *Gateway) keepIdleConn(e directory.Endpoint, conn *push.Conn) {
 	g.idleConns[e.ID] = append(g.idleConns[e.ID], conn)
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -26,6 +26,13 @@
 	Call *Call
 	Conn *push.Conn
 	End  push.End
+	Took float64 // seconds from the dial to the connection
+}
+
+// SpareDialed reports a second connection that came up although its call has one or has ended.
+type SpareDialed struct {
+	Endpoint directory.Endpoint
+	Conn     *push.Conn
 }
 
 // CallEnded reports the result of a call.
@@ -64,6 +71,7 @@
 func (Arrived) event()        {}
 func (AcceptFailed) event()   {}
 func (Dialed) event()         {}
+func (SpareDialed) event()    {}
 func (CallEnded) event()      {}
 func (LateWait) event()       {}
 func (Listed) event()         {}
@@ -113,10 +121,12 @@
 // WriteRecords writes records to the ledger.
 type WriteRecords struct{ Records []ledger.Record }
 
-// Dial establishes a connection for a call; Dialed follows. Timeout is in seconds.
+// Dial establishes a connection for a call; Dialed follows. If it is not up after AgainAfter, a second one is dialed, and
+// SpareDialed follows for the one that comes up later. Timeout and AgainAfter are in seconds.
 type Dial struct {
-	Call    *Call
-	Timeout float64
+	Call       *Call
+	Timeout    float64
+	AgainAfter float64
 }
 
 // SendCall records the start of a call's pushes in the ledger and then sends the call; CallEnded follows.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -167,6 +167,8 @@
 		delete(g.settled, e.ID) // the message was never accepted: its ID may be used again
 	case Dialed:
 		g.handleDialed(now, e)
+	case SpareDialed:
+		g.handleSpareDialed(e)
 	case CallEnded:
 		g.handleCallEnded(now, e.Call, e.Result)
 	case LateWait:
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -80,8 +80,16 @@
 
 // connect establishes the connection of the call that carries a message.
 func (f *fixture) connect(id string) {
+	f.step(gateway.Dialed{Call: f.callByMessage[id], Conn: f.newConn()})
+}
+
+// newConn returns a new connection to an endpoint.
+func (f *fixture) newConn() *push.Conn {
 	conn, end := push.Dial(f.listener.Addr().String(), 1)
-	f.step(gateway.Dialed{Call: f.callByMessage[id], Conn: conn, End: end})
+	if conn == nil {
+		panic(end)
+	}
+	return conn
 }
 
 // leaveIdle establishes a connection for a call that has ended meanwhile: it is kept, as it has carried no call.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -5,14 +5,6 @@
 	"orchiddrift/push"
 )
 
-// dial opens a connection with Dialer, or with the system's dialer if it is nil. The timeout is in seconds.
-func (r *Runner) dial(addr string, timeout float64) (*push.Conn, push.End) {
-	if r.Dialer == nil {
-		return push.Dial(addr, timeout)
-	}
-	return r.Dialer.Dial(addr, timeout)
-}
-
 // performCall sends a call and posts its result, and then any wait that the endpoint tells after the call was given up.
 func (r *Runner) performCall(c *Call) {
 	conn, result := c.Conn, r.send(c)
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -201,10 +201,7 @@
 			r.deferred = append(r.deferred, deferredEffect{effect: e})
 		}
 	case Dial:
-		go func() {
-			conn, end := r.dial(e.Call.Endpoint.Addr, e.Timeout)
-			r.Post(Dialed{e.Call, conn, end})
-		}()
+		go r.dialForCall(e)
 	case SendCall:
 		r.sendCall(e, result.restWritten, failedAccepts)
 	case CloseConn:
