Laboratory: no process is launched after the fleet was told to stop

A soak hung for 20 minutes (): a series of signals started dispatchers d1 and d2 just after Stop had signalled the processes before them, and Stop waited for them for good. Their goroutines stood in serve, no SIGTERM had come. launch and Stop exclude each other now.

--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -51,8 +51,13 @@
 	dir         string // for configurations, logs and profiles
 	processes   []*process
 	running     sync.WaitGroup // goroutines that watch processes, inject faults and sample usage
+	launchMu    sync.Mutex     // held while a process is launched
+	stopped     bool           // Stop was called: no process is launched any more; guarded by launchMu
 }
 
+// errStopped reports that a process is not launched because Stop was called.
+var errStopped = errors.New("the fleet is stopped")
+
 // process is the state of one dispatcher and of its current operating-system process. mu guards the fields below it.
 type process struct {
 	index         int
@@ -130,8 +135,13 @@
 	return f.waitReady(ctx, p, cmd, exited)
 }
 
-// launch starts a dispatcher's process. The returned channel is closed when the process has exited.
+// launch starts a dispatcher's process, unless the fleet is stopped. The returned channel is closed when the process has exited.
 func (f *Fleet) launch(p *process) (*exec.Cmd, chan struct{}, error) {
+	f.launchMu.Lock()
+	defer f.launchMu.Unlock()
+	if f.stopped {
+		return nil, nil, errStopped
+	}
 	log, err := os.OpenFile(f.LogPath(p.index), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, nil, err
@@ -312,7 +322,7 @@
 		return
 	}
 	f.waitStopped(p)
-	if err := f.start(ctx, p); err != nil && ctx.Err() == nil {
+	if err := f.start(ctx, p); err != nil && ctx.Err() == nil && !errors.Is(err, errStopped) {
 		f.recordEvent(p, record.Crashed, err.Error())
 	}
 }
@@ -358,8 +368,12 @@
 }
 
 // Stop terminates all dispatchers, kills those that do not exit within stopTimeout, and waits for the fleet's
-// goroutines. It resumes stalled processes first, since those would not handle SIGTERM.
+// goroutines. It resumes stalled processes first, since those would not handle SIGTERM. A process launched after that
+// would never be told to end.
 func (f *Fleet) Stop() {
+	f.launchMu.Lock()
+	f.stopped = true
+	f.launchMu.Unlock()
 	for _, p := range f.processes {
 		f.signal(p, syscall.SIGCONT, false)
 		f.signal(p, syscall.SIGTERM, true)
--- a/lab/fleet/series.go
+++ b/lab/fleet/series.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"syscall"
@@ -53,6 +54,9 @@
 // goroutine in starts records a process that does not become ready.
 func (f *Fleet) startAsync(ctx context.Context, p *process, starts *sync.WaitGroup) bool {
 	cmd, exited, err := f.launch(p)
+	if errors.Is(err, errStopped) {
+		return false
+	}
 	if err != nil {
 		f.recordEvent(p, record.Crashed, err.Error())
 		return false
