--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -19,6 +19,8 @@
 	quietStart = 0.5
 	// ratePerDispatcher is the load, in notifications a second for each dispatcher.
 	ratePerDispatcher = 4.0
+	// outOfTurnPerSecond is how many troubles begin per second in which endpoints or agents write what nobody asked for.
+	outOfTurnPerSecond = 0.4
 	// seriesPerSecond is how many series of signals begin per second.
 	seriesPerSecond = 0.15
 	// wideSeedInterval is the interval between the seeds that have a wide plan.
@@ -77,6 +79,10 @@
 	for range int(math.Ceil(seriesPerSecond * length)) {
 		s.Troubles = append(s.Troubles, drawSeries(s, random)...)
 	}
+	outOfTurn := newRand(seed, outOfTurnStream) // of its own, so that the other faults of a seed do not depend on it
+	for range int(math.Ceil(outOfTurnPerSecond * length)) {
+		s.Troubles = append(s.Troubles, drawOutOfTurn(s, outOfTurn))
+	}
 	if wide { // after the faults are drawn, so that they only affect destinations with listeners of their own
 		group := s.Groups[len(s.Groups)-1]
 		group.Count, group.Endpoints, group.SharedListeners, group.Share, group.Distribution = wideDestinations, wideEndpoints, wideListeners, wideShare, scenario.EvenShares
@@ -103,6 +109,8 @@
 	clientStream
 	answerStream
 	terminatingStream
+	outOfTurnStream
+	copyStream
 )
 
 // drawTrouble draws one fault.
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -43,6 +43,8 @@
 	reset     bool          // whether the cut resets the connection instead of closing it
 	chunkSize int           // maximum number of bytes forwarded at a time; 0: no limit
 	delay     time.Duration // time between a read from the client and its forwarding
+	copyShare float64       // share of the requests that are forwarded once more
+	copySeed  uint64        // seed of the draws for these
 }
 
 // The shares and sizes of the faults.
@@ -83,6 +85,10 @@
 	if p.random.Float64() < delayShare {
 		faults.delay = time.Duration(p.random.Int64N(int64(maxDelay)))
 	}
+	if p.random.Float64() < requestCopyConns && faults.cutAfter == 0 {
+		faults.copyShare = requestCopyShare
+	}
+	faults.copySeed = p.random.Uint64()
 	return faults
 }
 
@@ -208,6 +214,7 @@
 // reports whether the connection broke instead. It forwards nothing of a request to a connection that the dispatcher has ended.
 func (p *proxy) forwardRequests(server, client *net.TCPConn, faults connFaults, requests *requestTracker) (broken bool) {
 	buffer, forwarded := make([]byte, 16<<10), 0
+	copier := &requestCopier{server: server, share: faults.copyShare, random: newRand(faults.copySeed, copyStream)}
 	for {
 		n, err := client.Read(buffer)
 		if faults.delay > 0 && n > 0 {
@@ -227,7 +234,7 @@
 			_ = server.CloseWrite()
 			return false
 		}
-		if writeChunks(server, pending, faults.chunkSize) != nil {
+		if copier.write(pending, faults.chunkSize) != nil {
 			return true
 		}
 		if forwarded += n; err != nil {
