--- a/lab/out_of_turn_test.go
+++ b/lab/out_of_turn_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 
 	"orchiddrift/lab"
+	"orchiddrift/lab/planted"
 	"orchiddrift/lab/scenario"
 )
 
@@ -40,3 +42,29 @@
 		}
 	}
 }
+
+// Guards against rules that do not see an answer that is taken for another request's: a planted dispatcher that sends one call
+// after another on a connection breaks them where endpoints copy answers, and keeps them where they do not.
+func TestPlantedReuse(t *testing.T) {
+	for _, share := range []float64{0.5, 0} {
+		t.Run(fmt.Sprint("share ", share), func(t *testing.T) {
+			t.Parallel()
+			s := open("copy")
+			s.Troubles = slices.DeleteFunc(s.Troubles, func(trouble scenario.Trouble) bool {
+				return trouble.Kind == scenario.ChangeLimit || trouble.Kind == scenario.CopyAnswers && share == 0
+			})
+			for i := range s.Troubles {
+				if s.Troubles[i].Kind == scenario.CopyAnswers {
+					s.Troubles[i].Share = share
+				}
+			}
+			r, _, err := lab.Run(context.Background(), s, lab.Options{Command: command("planted:" + planted.ReuseConnections)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := brokenRules(r); (got != "") != (share > 0) {
+				t.Errorf("broken rules are %q; first violations: %v", got, r.Violations[:min(3, len(r.Violations))])
+			}
+		})
+	}
+}
--- a/lab/planted/planted.go
+++ b/lab/planted/planted.go
@@ -4,10 +4,12 @@
 package planted
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -37,6 +39,13 @@
 // can to the destinations at which pushes of the earlier process failed. It breaks rules.Overload.
 const ForgetOutage = "forgets"
 
+// ReuseConnections, in place of a rule, makes the dispatcher send all calls to an endpoint on one connection and take the next answer
+// there for that of the call, whatever came before. It breaks rules.Lost or rules.Duplicate where endpoints copy answers.
+const ReuseConnections = "reuses"
+
+// violators lists the names that stand in place of a rule.
+var violators = []string{CloseUnanswered, ForgetOutage, ReuseConnections}
+
 // failedFile is the file in the state folder that lists, a line each, the destinations at which pushes failed.
 const failedFile = "failed"
 
@@ -62,12 +71,14 @@
 
 	failedPath    string          // of failedFile
 	failedEarlier map[string]bool // by destination: a push of an earlier process failed there
+
+	keptConns map[string]*keptConn // by endpoint address, when breaking ReuseConnections; each is used by one destination
 }
 
 // Run runs a dispatcher that breaks the given rule, or none if it is "". It returns only with an error.
 func Run(getenv func(string) string, brokenRule string) error {
-	if brokenRule != "" && brokenRule != CloseUnanswered && brokenRule != ForgetOutage && !slices.Contains(rules.All, brokenRule) {
-		return fmt.Errorf("unknown rule %q: must be one of %s, %s, %s", brokenRule, strings.Join(rules.All, ", "), CloseUnanswered, ForgetOutage)
+	if known := slices.Concat(rules.All, violators); brokenRule != "" && !slices.Contains(known, brokenRule) {
+		return fmt.Errorf("unknown rule %q: must be one of %s", brokenRule, strings.Join(known, ", "))
 	}
 	configJSON, err := os.ReadFile(getenv("ROUTER_CONFIG"))
 	if err != nil {
@@ -84,7 +95,7 @@
 	}
 	d := &dispatcher{brokenRule: brokenRule, agentAddr: getenv("ROUTER_DISCOVERY"), onceOnly: map[string]bool{}, servers: map[string]platform.Server{},
 		queues: map[string]chan *message{}, waitUntil: map[string]time.Time{},
-		client: &http.Client{Timeout: answerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+		keptConns: map[string]*keptConn{}, client: &http.Client{Timeout: answerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
 	for _, class := range config.Settings.Classes {
 		d.onceOnly[class.Name] = class.Repeat == "single_shot"
 	}
@@ -279,7 +290,7 @@
 	if m.idempotencyKey != "" {
 		req.Header.Set("Idempotency-Key", m.idempotencyKey)
 	}
-	resp, err := d.client.Do(req)
+	resp, err := d.do(req)
 	if err != nil {
 		if strings.Contains(err.Error(), "refused") {
 			return -1, 0
@@ -291,6 +302,53 @@
 	return resp.StatusCode, time.Duration(wait * float64(time.Second))
 }
 
+// do sends a request and returns the answer, or what it takes for the answer.
+func (d *dispatcher) do(req *http.Request) (*http.Response, error) {
+	if d.brokenRule != ReuseConnections {
+		return d.client.Do(req)
+	}
+	d.mu.Lock()
+	kept := d.keptConns[req.URL.Host]
+	delete(d.keptConns, req.URL.Host)
+	d.mu.Unlock()
+	if kept == nil {
+		conn, err := net.Dial("tcp", req.URL.Host)
+		if err != nil {
+			return nil, err
+		}
+		kept = &keptConn{conn, bufio.NewReader(conn)}
+	}
+	resp, err := kept.exchange(req)
+	if err != nil {
+		_ = kept.Close()
+		return nil, err
+	}
+	d.mu.Lock()
+	d.keptConns[req.URL.Host] = kept
+	d.mu.Unlock()
+	return resp, nil
+}
+
+// keptConn is a connection that carries one call after another.
+type keptConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// exchange writes a request and reads the next answer on the connection.
+func (c *keptConn) exchange(req *http.Request) (*http.Response, error) {
+	_ = c.SetDeadline(time.Now().Add(answerTimeout))
+	if err := req.Write(c); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(c.reader, req)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp, err
+}
+
 // sortedIDs returns the ids of the known endpoints in order, so that push chooses the same one each time.
 func sortedIDs(servers map[string]platform.Server) []string {
 	var ids []string
