--- a/push/out_of_turn_test.go
+++ b/push/out_of_turn_test.go
@@ -63,22 +63,22 @@
 		{"half", "HTTP/1.1 5"},
 		{"noise", "\x00\x01\r\n\r\n"},
 	} {
-		fmt.Printf("%-6s", something.name)
+		fmt.Print(something.name)
 		for _, moment := range outOfTurnMoments {
 			end, usable, wait := playOutOfTurn(something.text, moment.act, moment.name == "idle")
-			fmt.Printf("%s: %v %v %v; ", moment.name, end, usable, wait)
+			fmt.Printf("; %s: %v %v %v", moment.name, end, usable, wait)
 		}
 		fmt.Println()
 	}
 	// Output:
-	// 200   idle: broke early false 0; awaited: done false 0; behind: turned away false 0; later: turned away false 0; given up: silent false 0;
-	// 503   idle: broke early false 0; awaited: turned away false 0; behind: turned away false 0; later: turned away false 0; given up: silent false 0;
-	// 429   idle: broke early false 0; awaited: turned away false 2; behind: turned away false 0; later: turned away false 0; given up: silent false 2;
-	// 408   idle: broke early false 0; awaited: unreadable false 0; behind: turned away false 0; later: turned away false 0; given up: silent false 0;
-	// 103   idle: broke early false 0; awaited: turned away false 0; behind: turned away false 0; later: turned away false 0; given up: silent false 0;
-	// 101   idle: broke early false 0; awaited: turned away false 0; behind: turned away false 0; later: turned away false 0; given up: silent false 0;
-	// half  idle: broke early false 0; awaited: unreadable false 0; behind: turned away false 0; later: turned away false 0; given up: silent false 0;
-	// noise idle: broke early false 0; awaited: unreadable false 0; behind: turned away false 0; later: turned away false 0; given up: silent false 0;
+	// 200; idle: broke early false 0; awaited: done false 0; behind: turned away false 0; later: turned away false 0; given up: silent false 0
+	// 503; idle: broke early false 0; awaited: turned away false 0; behind: turned away false 0; later: turned away false 0; given up: silent false 0
+	// 429; idle: broke early false 0; awaited: turned away false 2; behind: turned away false 0; later: turned away false 0; given up: silent false 2
+	// 408; idle: broke early false 0; awaited: unreadable false 0; behind: turned away false 0; later: turned away false 0; given up: silent false 0
+	// 103; idle: broke early false 0; awaited: turned away false 0; behind: turned away false 0; later: turned away false 0; given up: silent false 0
+	// 101; idle: broke early false 0; awaited: turned away false 0; behind: turned away false 0; later: turned away false 0; given up: silent false 0
+	// half; idle: broke early false 0; awaited: unreadable false 0; behind: turned away false 0; later: turned away false 0; given up: silent false 0
+	// noise; idle: broke early false 0; awaited: unreadable false 0; behind: turned away false 0; later: turned away false 0; given up: silent false 0
 }
 
 // playOutOfTurn sends a call to an endpoint that writes something out of turn, and returns how it ends, whether its connection can
