push: exchange in functions of one job each

No behaviour changes: the same branches, apart for what comes before a response, the response and its partial head. push's tests, with each response cut at each byte, pass.

--- a/push/conn.go
+++ b/push/conn.go
@@ -152,8 +152,9 @@
 	}
 }
 
-// exchange writes a request and reads its response until the deadline. The label names the request in the log. A malformed or truncated response gives InvalidResponse whatever its status code, since the push may have
-// run. The exception is a call with a single message: it counts as delivered once the status line with status 200 was read.
+// exchange writes a request and reads its response until the deadline. The label names the request in the log. A malformed or
+// truncated response gives InvalidResponse whatever its status code, since the push may have run. The exception is a call with a
+// single message: it counts as delivered once the status line with status 200 was read.
 func (c *Conn) exchange(label string, req *fasthttp.Request, resp *fasthttp.Response, singleMessage bool, deadline time.Time) End {
 	if c.conn.SetDeadline(deadline) != nil {
 		return WriteFailed
@@ -166,30 +167,9 @@
 		return WriteFailed
 	}
 	if err := c.awaitFirstByte(deadline); err != nil {
-		switch {
-		case c.conn.Closed():
-			return Cancelled
-		case deadlineExceeded(err):
-			return ResponseTimeout
-		}
-		return ConnectionLost
-	}
-	err = c.readHead(resp, deadline)
-	for err == nil && resp.StatusCode() < fasthttp.StatusOK { // interim 1xx responses
-		if err = c.awaitFirstByte(deadline); err == nil {
-			err = c.readHead(resp, deadline)
-		}
-	}
-	statusOK := err == nil && resp.StatusCode() == fasthttp.StatusOK
-	if err != nil {
-		buffered, _ := c.reader.Peek(c.reader.Buffered())
-		statusOK = statusOKLine.Match(buffered)
-		if match := retryAfterLine.FindSubmatch(buffered); match != nil { // the wait applies even if the rest of the head is missing
-			resp.Header.SetBytesV("Retry-After", match[1])
-		}
-	} else if code := resp.StatusCode(); code != fasthttp.StatusNoContent && code != fasthttp.StatusNotModified {
-		err = c.readBody(resp)
+		return c.endWithoutResponse(err)
 	}
+	statusOK, err := c.readResponse(resp, deadline)
 	if err == nil {
 		extra, _ := c.reader.Peek(c.reader.Buffered())
 		c.conn.ReadAnswer(extra)
@@ -204,6 +184,45 @@
 	return InvalidResponse
 }
 
+// endWithoutResponse returns the end of a call whose response failed to come with the given error.
+func (c *Conn) endWithoutResponse(err error) End {
+	switch {
+	case c.conn.Closed():
+		return Cancelled
+	case deadlineExceeded(err):
+		return ResponseTimeout
+	}
+	return ConnectionLost
+}
+
+// readResponse reads a response, after any interim ones, once its first byte has come. It also reports whether the status line has
+// status 200, which it may although the rest is missing.
+func (c *Conn) readResponse(resp *fasthttp.Response, deadline time.Time) (statusOK bool, err error) {
+	err = c.readHead(resp, deadline)
+	for err == nil && resp.StatusCode() < fasthttp.StatusOK { // interim 1xx responses
+		if err = c.awaitFirstByte(deadline); err == nil {
+			err = c.readHead(resp, deadline)
+		}
+	}
+	if err != nil {
+		return c.readPartialHead(resp), err
+	}
+	if code := resp.StatusCode(); code != fasthttp.StatusNoContent && code != fasthttp.StatusNotModified {
+		err = c.readBody(resp)
+	}
+	return resp.StatusCode() == fasthttp.StatusOK, err
+}
+
+// readPartialHead takes the told wait from a head that is not complete, since it applies all the same, and reports whether its
+// status line has status 200.
+func (c *Conn) readPartialHead(resp *fasthttp.Response) (statusOK bool) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if match := retryAfterLine.FindSubmatch(buffered); match != nil {
+		resp.Header.SetBytesV("Retry-After", match[1])
+	}
+	return statusOKLine.Match(buffered)
+}
+
 // writeRequest writes a request. An error means that the endpoint has not got all of it, and has not begun the call.
 func (c *Conn) writeRequest(label string, req *fasthttp.Request) error {
 	if err := c.conn.Begin(label); err != nil {
