--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -67,7 +67,7 @@
 
 // Guards against a change of newPlan with which the plans of shortSeeds no longer have all the faults that they are meant to have.
 func TestShortSeeds(t *testing.T) {
-	wide, flooded, series := false, false, 0
+	wide, flooded, series, kinds := false, false, 0, map[string]bool{}
 	for _, seed := range shortSeeds {
 		p, err := newPlan(seed, 6)
 		if err != nil {
@@ -76,6 +76,7 @@
 		wide = wide || countEndpoints(p.Scenario) > 3000
 		flooded = flooded || len(p.FloodedDispatchers) > 0
 		for _, trouble := range p.Troubles {
+			kinds[trouble.Kind] = true
 			if trouble.Kind == scenario.SignalSeries {
 				series++
 			}
@@ -84,6 +85,11 @@
 	if !wide || !flooded || series < len(shortSeeds) {
 		t.Errorf("wide %v, flooded %v, %d series of signals", wide, flooded, series)
 	}
+	for _, kind := range []string{scenario.CopyAnswers, scenario.StrayAnswers, scenario.AgentCopies, scenario.AgentStrays} {
+		if !kinds[kind] {
+			t.Errorf("no seed has the trouble %s", kind)
+		}
+	}
 }
 
 // Guards against a soak that detects nothing: a dispatcher that loses some accepted notifications must lead to findings.
