Dial: eight second connections at a time

Where endpoints do not answer at all each call in flight would have dialed twice, and with 256 descriptors, half of them for clients, none might be left.

--- a/decide/connections.go
+++ b/decide/connections.go
@@ -15,6 +15,10 @@
 	defaultDialAgain = 0.2  // seconds, that time before a connection has come up
 )
 
+// MaxSecondDials is the largest number of second connections that are dialed at once. More late ones show that it is the endpoints
+// that do not answer, and each takes a descriptor.
+const MaxSecondDials = 8
+
 // ConnectionUp records how long, in seconds, a connection to an endpoint took to come up.
 func (s *Scheduler) ConnectionUp(seconds float64) {
 	s.dialTimes = appendLast(s.dialTimes, seconds, maxSamples)
--- a/gateway/dial.go
+++ b/gateway/dial.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"orchiddrift/decide"
 	"orchiddrift/push"
 )
 
@@ -21,13 +22,27 @@
 	return r.Dialer.Dial(addr, timeout)
 }
 
-// startDial begins an attempt to connect, and passes its result to results.
-func (r *Runner) startDial(addr string, timeout float64, results chan<- dialResult) {
+// tryDial attempts to connect, and passes the result to results.
+func (r *Runner) tryDial(addr string, timeout float64, results chan<- dialResult) {
+	start := time.Now()
+	conn, end := r.dial(addr, timeout)
+	results <- dialResult{conn, end, time.Since(start)}
+}
+
+// startSecondDial begins a second attempt to connect, and reports whether it did: not if decide.MaxSecondDials are under way.
+func (r *Runner) startSecondDial(addr string, timeout float64, results chan<- dialResult) bool {
+	if timeout <= 0 {
+		return false
+	}
+	if r.secondDials.Add(1) > decide.MaxSecondDials {
+		r.secondDials.Add(-1)
+		return false
+	}
 	go func() {
-		start := time.Now()
-		conn, end := r.dial(addr, timeout)
-		results <- dialResult{conn, end, time.Since(start)}
+		defer r.secondDials.Add(-1)
+		r.tryDial(addr, timeout, results)
 	}()
+	return true
 }
 
 // dialForCall connects for a call and posts Dialed. If the connection is not up after AgainAfter, it dials a second one beside it
@@ -37,15 +52,14 @@
 	const attempts = 2
 	results := make(chan dialResult, attempts)
 	addr := e.Call.Endpoint.Addr
-	r.startDial(addr, e.Timeout, results)
+	go r.tryDial(addr, e.Timeout, results)
 	again := time.NewTimer(time.Duration(e.AgainAfter * float64(time.Second)))
 	defer again.Stop()
 	open := 1
 	for {
 		select {
 		case <-again.C:
-			if remaining := e.Timeout - e.AgainAfter; remaining > 0 {
-				r.startDial(addr, remaining, results)
+			if r.startSecondDial(addr, e.Timeout-e.AgainAfter, results) {
 				open++
 			}
 		case result := <-results:
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -47,6 +48,7 @@
 	pendingRefusals    []pendingRefusal             // refusals that may not be sent yet
 	wakeAt             float64                      // time for which the next iteration of the loop was scheduled
 	repliesOwed        int                          // arrivals without a reply
+	secondDials        atomic.Int32                 // second connections that are being dialed
 	loggedExitDenial   permit.Denial                // what the exit waited for when that was last logged
 }
 
