Laboratory: SIGHUP comes to processes that are ready, and not in their first second

The check and the signal were apart, and the check asked for a second alone, in which a process can be stopped. Both stand under one lock now and ask for readiness, as the protocol says.

--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -66,6 +66,7 @@
 	mu            sync.Mutex
 	cmd           *exec.Cmd
 	startedAt     time.Time     // of the current process
+	ready         bool          // the current process has answered that it is ready
 	stopRequested bool          // SIGTERM or SIGKILL was sent to the current process
 	exited        chan struct{} // closed when the current process has exited; nil before the first start
 	usage         Usage
@@ -162,7 +163,7 @@
 	}
 	exited := make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.stopRequested, p.exited, p.cpuSeconds, p.cpuAtReady, p.startedAt = cmd, false, exited, 0, 0, time.Now()
+	p.cmd, p.stopRequested, p.exited, p.cpuSeconds, p.cpuAtReady, p.startedAt, p.ready = cmd, false, exited, 0, 0, time.Now(), false
 	p.mu.Unlock()
 	f.recordEvent(p, record.Started, "")
 	f.running.Go(func() { f.waitExit(p, cmd, exited) })
@@ -203,6 +204,7 @@
 		p.mu.Unlock()
 		return
 	}
+	p.ready = true
 	f.recordEvent(p, record.Ready, "")
 	p.mu.Unlock()
 	f.sampleUsage(p)
@@ -327,9 +329,20 @@
 	}
 }
 
-// signalHandlerSetup is the time after a start in which the platform sends no SIGHUP. A new process that has not installed its signal
-// handlers is terminated by it.
-const signalHandlerSetup = time.Second
+// quietStart is the time after a start in which the platform sends no SIGHUP, which it never does before the process is ready.
+const quietStart = time.Second
+
+// hangUp sends SIGHUP to a dispatcher's current process, and reports whether it did: not in its quietStart, nor before it is ready. A
+// new process that has not installed its signal handlers would be terminated by it.
+func (f *Fleet) hangUp(p *process) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.ready || time.Since(p.startedAt) < quietStart {
+		return false
+	}
+	_ = p.cmd.Process.Signal(syscall.SIGHUP) // fails only if the process has exited already
+	return true
+}
 
 // moveAgent announces the agent's new address to a dispatcher by a new configuration and SIGHUP. Because the
 // configuration is replaced atomically, a process that starts meanwhile reads a complete one.
@@ -337,18 +350,12 @@
 	if err := f.writeConfig(p.index, f.network.MovedAgentAddr(p.index)); err != nil {
 		f.recordEvent(p, record.Crashed, err.Error())
 	}
-	for {
-		p.mu.Lock()
-		starting := time.Since(p.startedAt) < signalHandlerSetup
-		p.mu.Unlock()
-		if !starting {
-			break
-		}
-		if !sleep(ctx, signalHandlerSetup) {
+	const retryInterval = 100 * time.Millisecond
+	for !f.hangUp(p) {
+		if !sleep(ctx, retryInterval) {
 			return
 		}
 	}
-	f.signal(p, syscall.SIGHUP, false)
 }
 
 // waitStopped waits until a process that was asked to stop has exited, and kills it after stopTimeout.
