--- a/intake/client.go
+++ b/intake/client.go
@@ -53,6 +53,7 @@
 	readDelay            time.Duration    // how long reads of the current request have failed; only the goroutine that reads uses it
 	answered             answeredRequests // only the goroutine that serves the connection uses it, as cutter
 	cutter               responseCutter
+	untoldSince          time.Time     // since when shutting down the write side of an idle connection has failed; zero: it has not
 	queuedFor            time.Duration // how long the connection may have waited to be accepted while accepts failed
 }
 
@@ -155,6 +156,21 @@
 	return again
 }
 
+// maxUntoldEnd is how long a connection stays open for reading because its write side cannot be shut down.
+const maxUntoldEnd = 2 * time.Second
+
+// tellEnd shuts down the write side, so that the client sees that it can send nothing more, and reports whether the connection may be
+// closed for reading: also if that has failed for maxUntoldEnd. The caller holds the lock.
+func (c *clientConn) tellEnd() bool {
+	if failing := c.closeWrite(); !failing {
+		return true
+	}
+	if c.untoldSince.IsZero() {
+		c.untoldSince = time.Now()
+	}
+	return time.Since(c.untoldSince) > maxUntoldEnd
+}
+
 // interruptRead makes a pending read return, by setting a read deadline in the past.
 func (c *clientConn) interruptRead() { _ = c.Conn.SetReadDeadline(time.Unix(1, 0)) }
 
--- a/intake/clients.go
+++ b/intake/clients.go
@@ -209,9 +209,8 @@
 	defer l.lock.Unlock()
 	l.stopping = true
 	for c := range l.open {
-		if permit.CloseIdle(c.state(), c.unread) == permit.Granted {
+		if permit.CloseIdle(c.state(), c.unread) == permit.Granted && c.tellEnd() {
 			c.markReadClosed(serverStopping)
-			c.closeWrite()
 			c.interruptRead()
 		}
 	}
--- a/intake/failing_calls_test.go
+++ b/intake/failing_calls_test.go
@@ -203,6 +203,27 @@
 	}
 }
 
+// Guards against a request that is not read at a planned stop although its client cannot know that, because shutting down the write
+// side of its idle connection fails.
+func TestRequestWhileShutdownFails(t *testing.T) {
+	calls := &failingCalls{}
+	ts := serveWith(t, calls)
+	conn := ts.dial(t)
+	fmt.Fprint(conn, validRequest)
+	readResponse(t, conn)
+	time.Sleep(20 * time.Millisecond) // the connection is idle by then
+	calls.shutdowns.Store(20)
+	closed := make(chan struct{})
+	go func() { _ = ts.Server.Close(); close(closed) }()
+	time.Sleep(50 * time.Millisecond)
+	fmt.Fprint(conn, requestWithID("a2"))
+	if resp := readResponse(t, conn); resp.StatusCode != http.StatusAccepted {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	conn.Close()
+	<-closed
+}
+
 // Guards against closing a new connection with its request because the looks at all others fail for a moment, so that none of them
 // may be evicted.
 func TestAdmissionWhileLooksFail(t *testing.T) {
