--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -178,7 +178,8 @@
 }
 
 // peek returns the first bytes that wait to be read, without reading them, or an error if the connection has ended or cannot
-// be looked at. It returns nothing for a connection that is not a socket.
+// be looked at. It returns nothing for a connection that is not a socket. It is called before anything of the answer is read, while
+// prefix is free.
 func (c *Conn) peek() ([]byte, error) {
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
@@ -191,11 +192,10 @@
 	if err != nil {
 		return nil, err
 	}
-	buffer := make([]byte, maxPrefix)
 	var n int
 	var peekErr error
 	err = raw.Control(func(fd uintptr) {
-		n, _, peekErr = syscall.Recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, peekErr = syscall.Recvfrom(int(fd), c.prefix[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
 	switch {
 	case err != nil:
@@ -207,7 +207,7 @@
 	case n == 0:
 		return nil, io.EOF
 	}
-	return buffer[:n], nil
+	return c.prefix[:n], nil
 }
 
 // unsolicited records bytes that belong to no request.
