--- a/lab/agent/agent.go
+++ b/lab/agent/agent.go
@@ -202,20 +202,16 @@
 
 // listDownUntil reports whether a dispatcher's requests for the list go unanswered, and if so until when.
 func (a *Agents) listDownUntil(dispatcher int, now float64) (float64, bool) {
-	for _, t := range a.world.Troubles {
-		if t.Kind == scenario.ListDown && now >= t.At && now < t.End() && t.AppliesToDispatcher(dispatcher) {
-			return t.End(), true
-		}
+	for _, t := range a.activeTroubles(dispatcher, now, scenario.ListDown) {
+		return t.End(), true
 	}
 	return 0, false
 }
 
 // extraDelay returns by how many seconds a response with the list is delayed now.
 func (a *Agents) extraDelay(dispatcher int, now float64) float64 {
-	for _, t := range a.world.Troubles {
-		if t.Kind == scenario.ListSlow && now >= t.At && now < t.End() && t.AppliesToDispatcher(dispatcher) {
-			return t.Factor
-		}
+	for _, t := range a.activeTroubles(dispatcher, now, scenario.ListSlow) {
+		return t.Factor
 	}
 	return 0
 }
