Mend: no content of a message is read as a record of the ledger

Cause: the reader of a segment searched what it could not read for the next valid record at every byte offset: behind the last record of the newest segment, where the file's earlier use stands, and behind damage. Bodies stood there as they came, so records in a body were found. Numbers had no bound, so that one record could use them up (2^64-1).

Change: segment format 2.

--- a/dispatcher/process.go
+++ b/dispatcher/process.go
@@ -97,7 +97,8 @@
 
 // run restores the pending notifications, serves clients and pushes notifications until a stop signal or an error.
 func (p *process) run() error {
-	p.log.Info().Int("owed", len(p.state.pending)).Int("taken_over", p.state.report.MigratedRecords).Int("listed", len(p.cfg.Known.Servers)).
+	p.log.Info().Int("owed", len(p.state.pending)).Int("taken_over", p.state.report.MigratedRecords).
+		Int("old_segments", p.state.report.OldSegments).Int("listed", len(p.cfg.Known.Servers)).
 		Int("recovering", len(p.state.recovering)).Msg("start")
 	saver := recoverystate.NewSaver(p.state.recoveryStore, func(err error) { p.errors.Failed(syserr.RecoveryWrite, "", err) })
 	defer saver.Close()
--- a/ledger/compact.go
+++ b/ledger/compact.go
@@ -107,6 +107,20 @@
 	return nil
 }
 
+// migrateSegments rewrites the pending notifications of segments that an earlier version of the format left, and removes their files.
+// First it begins a segment of the current version, whose header tells where the earlier ones end. What is left after an error
+// is rewritten as compaction goes on.
+func (l *Ledger) migrateSegments() {
+	if l.log.OldestVersion() == seglog.FormatVersion || l.log.StartSegment() != nil {
+		return
+	}
+	for l.log.OldestVersion() != seglog.FormatVersion {
+		if _, err := l.compactStep(maxSegmentBytes); err != nil {
+			return
+		}
+	}
+}
+
 // Compact rewrites all pending notifications of the older segments, and removes the files that become free, except for
 // the reserved ones.
 func (l *Ledger) Compact() error {
--- a/ledger/export_test.go
+++ b/ledger/export_test.go
@@ -19,3 +19,6 @@
 	}
 	return b
 }
+
+// EncodeRecord returns the encoded form of a record.
+func EncodeRecord(r Record) []byte { return encode(nil, r) }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -74,7 +74,8 @@
 
 // Open reads the ledger and returns the pending notifications in the order in which they were accepted. A call that was
 // open when its process ended counts as one that may have run. If a range of the log is damaged, all notifications that were
-// pending at that point of the log count as having a call that may have run.
+// pending at that point of the log count as having a call that may have run. Unless ReadOnly is set, Open rewrites the segments of
+// earlier format versions.
 func Open(folder disk.Folder, options Options) (*Ledger, []Pending, Report, error) {
 	l := &Ledger{pending: map[string]*Pending{}, bySegment: map[int][]*Pending{}}
 	var report Report
@@ -111,7 +112,10 @@
 			return fail(err)
 		}
 	}
-	l.lastCallNumber = max(l.lastCallNumber, l.log.LastSeq())
+	if !options.ReadOnly {
+		l.migrateSegments()
+	}
+	l.countCallNumber(l.log.LastSeq())
 	var list []Pending
 	for _, p := range l.pendingInOrder() {
 		p.assumeOpenCallRan()
@@ -127,6 +131,16 @@
 // numbers.
 func (l *Ledger) LastCallNumber() uint64 { return l.lastCallNumber }
 
+// maxCallNumber is the highest call number that a record is believed to hold; higher ones are damage.
+const maxCallNumber = 1 << 62
+
+// countCallNumber makes the numbers of new calls higher than number.
+func (l *Ledger) countCallNumber(number uint64) {
+	if number <= maxCallNumber {
+		l.lastCallNumber = max(l.lastCallNumber, number)
+	}
+}
+
 // HasRoom reports whether there is space for a new notification with a body of the given size and its later records.
 func (l *Ledger) HasRoom(bodyBytes int) bool {
 	const otherFieldsBytes = 1024 // allowance for the fields of a message other than the body
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -69,7 +69,7 @@
 // apply updates the state in memory with a record of the given encoded size in a segment.
 func (l *Ledger) apply(r Record, segment, recordBytes int) {
 	p := l.pending[r.ID]
-	l.lastCallNumber = max(l.lastCallNumber, r.CallNumber)
+	l.countCallNumber(r.CallNumber)
 	switch {
 	case r.Kind == Batch:
 		for _, part := range r.Parts {
