Mend: a request with the id of another one is refused, and not answered as taken on

Cause: gateway.handleArrived took the id for the message. A request whose id was in hand, or over with its TTL not ended, was answered as taken on, whatever it asked for. The same on one connection (intake/withhold.go), where it got no answer at all.

Change: a message has a keyed fingerprint of class, tenant, destination, keys and body. The same id and fingerprint is the same request, sent once more; the same id alone is refused with 503, which lets a usual client hand it in again under a new id. Log, counter and permit.Accept name the reason. ReplyChecker counts by id and fingerprint.

Why it works: wherever the id was asked for (pending, settled, restored, on a connection), what the request asks for is compared with it.

BenchmarkHandIn did not run since requests that come twice on a connection get one answer: it sends each with an id of its own now.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -97,6 +97,8 @@
 	LedgerFailed Refusal = "ledger failed" // the message could not be written to the ledger
 	ShuttingDown Refusal = "stopping"      // the process is shutting down
 	NotPlaceable Refusal = "not placeable" // the scheduler has no room for the message, or its destination is unknown
+	// IDInUse: another message with its ID is pending, or was settled and its TTL has not ended.
+	IDInUse Refusal = "id in use by another request"
 )
 
 // Effect is an output of Gateway: Accept, Answer, WriteRecords, Dial, SendCall, CloseConn, Notify, Watch or Fetch.
@@ -110,7 +112,7 @@
 	Respond func(Reply)
 }
 
-// Answer replies to a client. A duplicate is confirmed only if the ledger has the message: it may arrive before the
+// Answer replies to a client. A request that came once more is confirmed only if the ledger has the message: it may arrive before the
 // record of the message is written, and that write may fail.
 type Answer struct {
 	ID      string
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,7 +37,7 @@
 	pending        map[string]*pendingMessage // by message ID
 	idleConns      map[string][]*push.Conn    // by endpoint ID, newest last; they have carried no call
 	lastToldWait   map[throttleKey]float64    // by scope: time at which a wait was last told
-	settled        map[string]float64         // by ID of a settled message: end of its TTL
+	settled        map[string]settledMessage  // by ID
 	formingCalls   []*Call                    // calls of the current round
 	overflowCalls  []*Call                    // calls for messages whose bodies did not fit into formingCalls
 	lastCallID     uint64                     // number of the latest call prepared for sending
@@ -58,12 +58,19 @@
 // pendingMessage is an accepted message that is not settled yet.
 type pendingMessage struct {
 	message       *message.Message
+	fingerprint   message.Fingerprint
 	call          *Call           // the call that carries its push; nil for none
 	noticePending bool            // its notice has not been answered yet
 	startBy       float64         // latest time at which its push may start
 	firstRun      decide.FirstRun // its first push that may have run, as of the latest placement
 }
 
+// settledMessage is what is kept of a settled message until its TTL has ended, to recognize a request that is sent once more.
+type settledMessage struct {
+	expiresAt   float64 // end of its TTL
+	fingerprint message.Fingerprint
+}
+
 // New returns a Gateway without messages. hasRoom reports whether the ledger has room for a message with a body of that
 // many bytes. By kind of endpoint, separateRoutes says whether each endpoint is a route of its own, and batchSize how
 // many messages may share a call. dialTimeout limits the time to establish a connection.
@@ -71,7 +78,7 @@
 	batchSize map[string]int, dialTimeout float64) *Gateway {
 	g := &Gateway{scheduler: scheduler, directory: dir, hasRoom: hasRoom, separateRoutes: separateRoutes, batchSize: batchSize,
 		dialTimeout: dialTimeout, pending: map[string]*pendingMessage{}, idleConns: map[string][]*push.Conn{},
-		lastToldWait: map[throttleKey]float64{}, settled: map[string]float64{}}
+		lastToldWait: map[throttleKey]float64{}, settled: map[string]settledMessage{}}
 	scheduler.SetHealthObserver(func(event decide.HealthEvent) { g.healthEvents = append(g.healthEvents, event) })
 	return g
 }
@@ -124,7 +131,7 @@
 		m := r.Message
 		m.TimeLeft, m.Restored, m.NoticePending = m.ExpiresAt-now, true, r.Notice != nil
 		m.LastPushFailed = g.lastCallFailed(r.LastCall, lastStart)
-		g.pending[m.ID] = &pendingMessage{message: m, noticePending: m.NoticePending}
+		g.pending[m.ID] = &pendingMessage{message: m, fingerprint: m.Fingerprint(), noticePending: m.NoticePending}
 		g.registerWithChecker(m)
 		g.execute(now, g.scheduler.Place(now, m.Notification))
 		if n := r.Notice; n != nil {
@@ -242,12 +249,14 @@
 
 // handleArrived accepts or refuses a message.
 func (g *Gateway) handleArrived(now float64, e Arrived) {
-	m := e.Message
-	if _, settled := g.settled[m.ID]; settled || g.pending[m.ID] != nil { // a duplicate of a pending or settled message
+	m, fingerprint := e.Message, e.Message.Fingerprint()
+	known, idInUse := g.fingerprintOf(m.ID)
+	if idInUse && known == fingerprint { // the request of a pending or settled message, sent once more
 		g.emit(Answer{m.ID, e.Respond, Reply{Accepted: true}})
 		return
 	}
-	if denial := permit.Accept(permit.Arrival{PushesStopped: g.pushesStopped, LedgerRoom: g.hasRoom(len(m.Body))}); denial != permit.Granted {
+	arrival := permit.Arrival{IDInUse: idInUse, PushesStopped: g.pushesStopped, LedgerRoom: g.hasRoom(len(m.Body))}
+	if denial := permit.Accept(arrival); denial != permit.Granted {
 		g.emit(Answer{m.ID, e.Respond, Reply{Reason: refusalReasons[denial]}})
 		return
 	}
@@ -260,14 +269,24 @@
 		g.emit(Answer{m.ID, e.Respond, Reply{RetryIn: d.RetryIn, Reason: NotPlaceable}})
 		return
 	}
-	g.pending[m.ID] = &pendingMessage{message: m}
+	g.pending[m.ID] = &pendingMessage{message: m, fingerprint: fingerprint}
 	g.registerWithChecker(m)
 	g.recoveryChecker.Arrived(now, m.Dest)
 	g.emit(Accept{m, e.Respond})
 }
 
+// fingerprintOf returns the fingerprint of the pending or settled message with an ID, and reports whether there is one.
+func (g *Gateway) fingerprintOf(id string) (message.Fingerprint, bool) {
+	if p := g.pending[id]; p != nil {
+		return p.fingerprint, true
+	}
+	settled, ok := g.settled[id]
+	return settled.fingerprint, ok
+}
+
 // refusalReasons are the reasons that clients and metrics are told, by the reason against an arrival.
-var refusalReasons = map[permit.Denial]Refusal{permit.ShuttingDown: ShuttingDown, permit.LedgerFull: LedgerFull}
+var refusalReasons = map[permit.Denial]Refusal{permit.ShuttingDown: ShuttingDown, permit.LedgerFull: LedgerFull,
+	permit.IDInUse: IDInUse}
 
 // registerWithChecker informs the checker of a message that is pending from now on.
 func (g *Gateway) registerWithChecker(m *message.Message) {
@@ -321,7 +340,7 @@
 // no longer listed, and settled messages whose TTL has ended. It runs after each update or failure of the endpoint list.
 func (g *Gateway) prune(now float64) {
 	g.checker.Prune(now, g.directory.Contains)
-	maps.DeleteFunc(g.settled, func(_ string, until float64) bool { return until < now })
+	maps.DeleteFunc(g.settled, func(_ string, m settledMessage) bool { return m.expiresAt < now })
 	for _, id := range slices.Sorted(maps.Keys(g.idleConns)) {
 		if len(g.idleConns[id]) > 0 && g.directory.Contains(id) {
 			continue
@@ -336,11 +355,11 @@
 	})
 }
 
-// remove removes a settled message. Its ID is kept until its TTL ends, so that the message is not pushed again if it is
-// submitted again, perhaps by another client.
+// remove removes a settled message. Its ID and fingerprint are kept until its TTL ends, so that the message is not pushed again if its
+// request is sent once more.
 func (g *Gateway) remove(id string) {
 	if p := g.pending[id]; p != nil {
-		g.settled[id] = p.message.ExpiresAt
+		g.settled[id] = settledMessage{p.message.ExpiresAt, p.fingerprint}
 	}
 	g.checker.Finished(id)
 	delete(g.pending, id)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -221,11 +221,12 @@
 // trackReply counts an arrival as one that is owed a reply until that is given.
 func (r *Runner) trackReply(e Arrived) Arrived {
 	r.repliesOwed++
-	r.Replies.Arrived(e.Message.ID)
+	request := invariant.RequestOf(e.Message)
+	r.Replies.Arrived(request)
 	respond := e.Respond
 	e.Respond = func(reply Reply) {
 		r.repliesOwed--
-		r.Replies.Answered(e.Message.ID, reply.Accepted)
+		r.Replies.Answered(request, reply.Accepted)
 		respond(reply)
 	}
 	return e
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"orchiddrift/invariant"
 	"orchiddrift/ledger"
 	"orchiddrift/permit"
 	"orchiddrift/push"
@@ -178,7 +179,7 @@
 	switch e := e.(type) {
 	case Accept:
 		if result.allWritten {
-			r.Replies.Confirming(e.Message.ID)
+			r.Replies.Confirming(invariant.RequestOf(e.Message))
 			e.Respond(Reply{Accepted: true})
 			r.Log.Debug().Str("ntf", e.Message.ID).Str("topic", e.Message.Topic).Str("dest", e.Message.Dest).
 				Str("key", e.Message.Key).Float64("left", e.Message.TimeLeft).Msg("message accepted")
@@ -188,7 +189,7 @@
 		r.refuse(e.Respond, e.Message.ExpiresAt)
 		r.step(AcceptFailed{e.Message.ID})
 	case Answer:
-		if expiresAt, failed := failedAccepts[e.ID]; failed { // a duplicate of a message that could not be accepted
+		if expiresAt, failed := failedAccepts[e.ID]; failed && e.Accepted { // the request of a message that could not be accepted
 			r.refuse(e.Respond, expiresAt)
 			return
 		}
@@ -275,7 +276,7 @@
 	}
 	for _, record := range records {
 		if record.Kind == ledger.Accepted {
-			r.Replies.Stored(record.ID)
+			r.Replies.Stored(invariant.RequestOf(record.Message))
 		}
 	}
 	return true
--- a/intake/bench_test.go
+++ b/intake/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -32,11 +33,14 @@
 		b.Fatal(err)
 	}
 	defer conn.Close()
-	request := strings.ReplaceAll(validRequest, "\n", "\r\n")
+	requests := make([]string, 100) // more than a connection remembers
+	for i := range requests {
+		requests[i] = strings.NewReplacer("\n", "\r\n", "a1", fmt.Sprintf("a%03d", i)).Replace(validRequest)
+	}
 	reader, resp := bufio.NewReader(conn), &fasthttp.Response{}
 	b.ReportAllocs()
-	for b.Loop() {
-		if _, err := io.WriteString(conn, request); err != nil {
+	for i := 0; b.Loop(); i++ {
+		if _, err := io.WriteString(conn, requests[i%len(requests)]); err != nil {
 			b.Fatal(err)
 		}
 		if err := resp.Read(reader); err != nil || resp.StatusCode() != fasthttp.StatusAccepted {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -117,7 +117,7 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	c, id := ctx.Conn().(*clientConn), string(ctx.Request.Header.Peek("X-Call-Id"))
 	ok, closeAfter := c.requestReceived(id)
-	answeredAt, isCopy := c.answered.find(id)
+	answeredAt, isCopy := s.findAnswered(ctx, c, id)
 	if (closeAfter || s.closeAfterResponse.Load()) && !isCopy && !c.hasPipelinedRequests() {
 		ctx.SetConnectionClose()
 	}
@@ -143,6 +143,18 @@
 	}
 }
 
+// findAnswered returns the time at which the request was answered before on its connection, and whether it was.
+func (s *Server) findAnswered(ctx *fasthttp.RequestCtx, c *clientConn, id string) (time.Time, bool) {
+	if !c.answered.hasID(id) {
+		return time.Time{}, false
+	}
+	m, _, err := s.decode(ctx)
+	if err != nil {
+		return time.Time{}, false
+	}
+	return c.answered.find(m)
+}
+
 // withholdResponse sees to it that a request which was answered on the same connection some time before gets no second response.
 func (s *Server) withholdResponse(ctx *fasthttp.RequestCtx, c *clientConn, id string, after time.Duration) {
 	s.exchanges.Unsolicited(exchange.Unsolicited{Peer: exchange.Client, Addr: c.RemoteAddr().String(), Moment: exchange.RequestCopy,
@@ -154,42 +166,49 @@
 
 // acceptMessage submits the message of a request to the gateway, waits for the reply, and answers the request accordingly.
 func (s *Server) acceptMessage(ctx *fasthttp.RequestCtx) {
-	m, err := s.decode(ctx)
+	m, timeLeft, err := s.decode(ctx)
 	if err != nil {
 		s.rejectRequest(ctx, err)
 		return
 	}
+	c := ctx.Conn().(*clientConn)
+	m.ExpiresAt = s.clock() + timeLeft - c.arrivalDelay()
+	c.readDelay = 0
 	reply := make(chan gateway.Reply, 1)
 	s.submit(gateway.Arrived{Message: m, Respond: func(r gateway.Reply) { reply <- r }})
 	r := <-reply
-	ctx.Conn().(*clientConn).answered.add(m.ID)
+	c.answered.add(m)
 	s.debugLog.Debug().Str("ntf", m.ID).Stringer("client", ctx.RemoteAddr()).Bool("taken", r.Accepted).Str("why", string(r.Reason)).
 		Float64("after", time.Since(ctx.Time()).Seconds()).Msg("request answered")
 	if r.Accepted {
 		ctx.SetStatusCode(fasthttp.StatusAccepted)
 		return
 	}
+	if r.Reason == gateway.IDInUse {
+		s.badRequestLog.Info().Stringer("client", ctx.RemoteAddr()).Str("ntf", m.ID).Str("error", string(r.Reason)).Msg("bad request")
+	}
 	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	if r.RetryIn > 0 {
 		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(r.RetryIn, 'f', 3, 64))
 	}
 }
 
-// decode returns the message of a request. The message does not refer to memory of the request.
-func (s *Server) decode(ctx *fasthttp.RequestCtx) (*message.Message, error) {
+// decode returns the message of a request, and the time, in seconds, that its client allows, at most its TTL. The message does not refer
+// to memory of the request.
+func (s *Server) decode(ctx *fasthttp.RequestCtx) (*message.Message, float64, error) {
 	h := &ctx.Request.Header
 	if hasConflictingLengths(h.RawHeaders()) {
-		return nil, errors.New("both Content-Length and Transfer-Encoding: where the request ends is not certain")
+		return nil, 0, errors.New("both Content-Length and Transfer-Encoding: where the request ends is not certain")
 	}
 	m := &message.Message{IdempotencyKey: string(h.Peek("Idempotency-Key")), Body: append([]byte(nil), ctx.PostBody()...)}
 	m.ID, m.Topic, m.Tenant = string(h.Peek("X-Call-Id")), string(h.Peek("X-Call-Class")), string(h.Peek("X-Caller"))
 	m.Key = string(h.Cookie("about"))
 	if m.ID == "" {
-		return nil, errors.New("X-Call-Id is missing")
+		return nil, 0, errors.New("X-Call-Id is missing")
 	}
 	ttl, ok := s.ttl(m.Topic)
 	if !ok {
-		return nil, fmt.Errorf("X-Call-Class %q is not known", m.Topic)
+		return nil, 0, fmt.Errorf("X-Call-Class %q is not known", m.Topic)
 	}
 	for _, pair := range strings.FieldsFunc(string(h.Peek("X-Addressing")), isSeparator) {
 		if name, value, _ := strings.Cut(pair, "="); name == "dest" {
@@ -197,16 +216,13 @@
 		}
 	}
 	if _, err := strconv.ParseUint(m.Dest, 10, 64); err != nil {
-		return nil, errors.New("X-Addressing names no dest")
+		return nil, 0, errors.New("X-Addressing names no dest")
 	}
 	budget, err := parseBudget(string(h.Peek("X-Budget")))
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	c := ctx.Conn().(*clientConn)
-	m.ExpiresAt = s.clock() + min(budget, ttl) - c.arrivalDelay() // a mistaken budget must not keep a message pending for days
-	c.readDelay = 0
-	return m, nil
+	return m, min(budget, ttl), nil // a mistaken budget must not keep a message pending for days
 }
 
 // hasConflictingLengths reports whether a request has both a Content-Length and a Transfer-Encoding. Implementations disagree
--- a/intake/withhold.go
+++ b/intake/withhold.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"slices"
 	"time"
+
+	"orchiddrift/message"
 )
 
 // rememberedIDs is how many of the last requests on a connection are recognized when they come once more.
@@ -20,25 +22,31 @@
 
 // answeredRequests recognizes requests that come once more on a connection. A client has one request open on a connection and
 // gives each a new ID, so the second one is a copy made on the way. A response to it would be taken for the response to the
-// client's next request.
+// client's next request. A request that has the ID of an earlier one, but asks for something else, is no copy.
 type answeredRequests struct{ last []answeredRequest }
 
 // answeredRequest is a request that was answered at a time.
 type answeredRequest struct {
-	id string
-	at time.Time
+	id          string
+	fingerprint message.Fingerprint
+	at          time.Time
 }
 
-// add records that a request was answered.
-func (a *answeredRequests) add(id string) {
-	a.last = append(a.last, answeredRequest{id, time.Now()})
+// add records that the request with a message was answered.
+func (a *answeredRequests) add(m *message.Message) {
+	a.last = append(a.last, answeredRequest{m.ID, m.Fingerprint(), time.Now()})
 	a.last = a.last[max(0, len(a.last)-rememberedIDs):]
 }
 
-// find returns the time at which a request with the ID was answered, and whether there was one.
-func (a *answeredRequests) find(id string) (time.Time, bool) {
+// hasID reports whether a request with the ID was answered.
+func (a *answeredRequests) hasID(id string) bool {
+	return slices.ContainsFunc(a.last, func(request answeredRequest) bool { return request.id == id })
+}
+
+// find returns the time at which the request with a message was answered, and whether it was.
+func (a *answeredRequests) find(m *message.Message) (time.Time, bool) {
 	for _, request := range a.last {
-		if request.id == id {
+		if request.id == m.ID && request.fingerprint == m.Fingerprint() {
 			return request.at, true
 		}
 	}
--- a/intake/withhold_test.go
+++ b/intake/withhold_test.go
@@ -27,8 +27,12 @@
 	return ts, submitted
 }
 
+// otherWithID returns a request with the ID of the given one and another destination.
+func otherWithID(request string) string { return strings.Replace(request, "dest=7", "dest=8", 1) }
+
 // Guards against a client that takes the response to a copy of its request for that to its next one: each request gets one response
-// on its connection, however often it comes, before, with or after the next one, also if it was refused. A copy is not submitted.
+// on its connection, however often it comes, before, with or after the next one, also if it was refused. A copy is not submitted; another
+// request with the ID of an earlier one is no copy, and a client is owed an answer to it.
 func TestCopiedRequestGetsNoResponse(t *testing.T) {
 	accepted, refused := requestWithID("a1"), requestWithID("r1")
 	for name, test := range map[string]struct {
@@ -43,6 +47,8 @@
 		"many":           {[]string{accepted, strings.Repeat(accepted, 60) + refused}, []int{202, 503}},
 		"of an earlier":  {[]string{accepted, refused, accepted, requestWithID("r2")}, []int{202, 503, 503}},
 		"in two parts":   {[]string{accepted, accepted[:50], accepted[50:] + refused}, []int{202, 503}},
+		"other content":  {[]string{accepted, otherWithID(accepted), refused}, []int{202, 202, 503}},
+		"and its copy":   {[]string{accepted, otherWithID(accepted) + otherWithID(accepted) + accepted, refused}, []int{202, 202, 503}},
 		"before and now": {[]string{accepted + accepted + refused + accepted + refused}, []int{202, 503}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/invariant/invariant_test.go
+++ b/invariant/invariant_test.go
@@ -172,25 +172,34 @@
 
 // Each case violates one invariant on replies, and only that one must be counted; the first case violates none.
 func TestReplyChecker(t *testing.T) {
+	m, other := Request{"m", 1}, Request{"m", 2}
 	for _, c := range []struct {
 		name Name
 		do   func(c *ReplyChecker)
 	}{
 		{"", func(c *ReplyChecker) {
-			c.Arrived("m")
-			c.Stored("m")
-			c.Confirming("m")
-			c.Arrived("m") // once more, on another connection
-			c.Answered("m", true)
-			c.Answered("m", true)
-			c.Arrived("n")
-			c.Answered("n", false)
+			c.Arrived(m)
+			c.Stored(m)
+			c.Confirming(m)
+			c.Arrived(m) // once more, on another connection
+			c.Answered(m, true)
+			c.Answered(m, true)
+			c.Arrived(Request{ID: "n"})
+			c.Answered(Request{ID: "n"}, false)
 			c.Ended(0)
 		}},
-		{AnsweredTwice, func(c *ReplyChecker) { c.Arrived("m"); c.Answered("m", false); c.Answered("m", true) }},
-		{ConfirmedUnwritten, func(c *ReplyChecker) { c.Arrived("m"); c.Confirming("m"); c.Answered("m", true) }},
-		{ConfirmedUnwritten, func(c *ReplyChecker) { c.Stored("m"); c.Arrived("m"); c.Confirming("m"); c.Answered("m", true) }},
-		{EndedUnanswered, func(c *ReplyChecker) { c.Arrived("m"); c.Ended(0) }},
+		{AnsweredTwice, func(c *ReplyChecker) { c.Arrived(m); c.Answered(m, false); c.Answered(m, true) }},
+		{ConfirmedUnwritten, func(c *ReplyChecker) { c.Arrived(m); c.Confirming(m); c.Answered(m, true) }},
+		{ConfirmedUnwritten, func(c *ReplyChecker) { c.Stored(m); c.Arrived(m); c.Confirming(m); c.Answered(m, true) }},
+		{ConfirmedUnwritten, func(c *ReplyChecker) { // another request with its ID was written
+			c.Arrived(m)
+			c.Arrived(other)
+			c.Stored(m)
+			c.Confirming(other)
+			c.Answered(m, true)
+			c.Answered(other, true)
+		}},
+		{EndedUnanswered, func(c *ReplyChecker) { c.Arrived(m); c.Ended(0) }},
 		{EndedUnwritten, func(c *ReplyChecker) { c.Ended(1) }},
 	} {
 		counters := &Counters{}
@@ -202,10 +211,10 @@
 		}
 	}
 	var none *ReplyChecker
-	none.Arrived("m")
-	none.Stored("m")
-	none.Confirming("m")
-	none.Answered("m", true)
+	none.Arrived(m)
+	none.Stored(m)
+	none.Confirming(m)
+	none.Answered(m, true)
 	none.Ended(1)
 }
 
--- a/message/message.go
+++ b/message/message.go
@@ -10,4 +10,6 @@
 	IdempotencyKey string  // "" for none
 	Body           []byte
 	FirstRunCall   uint64 // number of the call that FirstRunAt refers to; 0 if unknown
+	fingerprint    Fingerprint
+	hasFingerprint bool // fingerprint is set
 }
--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -44,6 +44,7 @@
 		{"accept", Accept(Arrival{LedgerRoom: true}), Granted},
 		{"accept, stopping", Accept(Arrival{PushesStopped: true, LedgerRoom: true}), ShuttingDown},
 		{"accept, full", Accept(Arrival{}), LedgerFull},
+		{"accept, id in use", Accept(Arrival{IDInUse: true, LedgerRoom: true}), IDInUse},
 		{"refuse, discarded", Refuse(Refusal{Now: 1, ExpiresAt: 2, Discarded: true}), Granted},
 		{"refuse, over", Refuse(Refusal{Now: 2, ExpiresAt: 2}), Granted},
 		{"refuse, readable", Refuse(Refusal{Now: 1, ExpiresAt: 2}), RecordReadable},
--- a/permit/process.go
+++ b/permit/process.go
@@ -53,6 +53,7 @@
 
 // Arrival is what is known of a message that a client hands in.
 type Arrival struct {
+	IDInUse       bool // another message with its ID is pending, or was settled not long ago
 	PushesStopped bool // the process is shutting down
 	LedgerRoom    bool // the ledger has room for the message and its later records
 }
@@ -61,11 +62,14 @@
 const (
 	ShuttingDown Denial = "the process is shutting down"
 	LedgerFull   Denial = "the ledger has no room"
+	IDInUse      Denial = "another message has the ID"
 )
 
-// Accept asks: can the message still be pushed by this process, and does the ledger have room for it?
+// Accept asks: is the message the only one with its ID, can it still be pushed by this process, and does the ledger have room for it?
 func Accept(a Arrival) Denial {
 	switch {
+	case a.IDInUse:
+		return IDInUse
 	case a.PushesStopped:
 		return ShuttingDown
 	case !a.LedgerRoom:
