Mend: a call is not sent to an address that its endpoint has left

Cause: MaySend looked an endpoint up by destination and id and not at its address, so that a call whose connection came up while discovery listed the id at another address went to the old one.

Change: an endpoint counts as ready for a call only at the address that the call goes to; else the call is withdrawn and placed again.

--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -255,7 +255,7 @@
 func (g *Gateway) MaySend(now float64, c *Call) bool {
 	listed, _ := g.directory.Find(c.Endpoint.Dest, c.Endpoint.ID)
 	state := c.permitState(now)
-	state.EndpointReady = listed.Stage == directory.Ready
+	state.EndpointReady = listed.Stage == directory.Ready && listed.Addr == c.Endpoint.Addr
 	state.PlacedAt, state.WaitToldAt = c.placedAt, g.lastToldWait[g.throttleKeyOf(c.Endpoint)]
 	state.PushesStopped, state.NoPushBefore = g.pushesStopped, g.noPushBefore()
 	return permit.SendCall(state) == permit.Granted
--- a/permit/process.go
+++ b/permit/process.go
@@ -3,7 +3,7 @@
 // Call is what is known of a call that is about to be sent. Times are in seconds of the dispatcher's clock.
 type Call struct {
 	Now           float64
-	EndpointReady bool    // its endpoint is listed as ready
+	EndpointReady bool    // its endpoint is listed as ready, at the address that the call goes to
 	PlacedAt      float64 // when its first message was placed
 	WaitToldAt    float64 // when its destination or route last told a wait
 	PushesStopped bool    // the process is shutting down
