Laboratory: each message has content of its own, and the judge compares what comes with it

Change: bodies follow from the id and the seed, one in five hostile (windows of dispatchers' folders, records, markers, HTTP heads, JSON ends, nothing, 64 KB). Hand-ins and calls carry a digest of idempotency key and body; the judge keys pushes and deliveries by id and digest, and has a rule "content". Planted violators: content, ids, searches.

Two faults of the new trouble were met on the way: requests of bad clients shared a place in the plan, so that two of them counted as one once-only message, and shared a key, whose order they do not keep; each has its own now.

--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -81,13 +81,18 @@
 	sampleInterval = 200 * time.Millisecond  // between two samples of resource usage
 )
 
+// StateDir returns the lasting folder of a dispatcher in the folder of a run.
+func StateDir(dir string, dispatcher int) string {
+	return filepath.Join(dir, fmt.Sprintf("d%d.state", dispatcher))
+}
+
 // Start writes the dispatchers' configurations into dir and starts them all. It returns once all are ready, or with an
 // error once each is ready or has failed. The fleet is returned with an error too: the caller stops it.
 func Start(ctx context.Context, world *scenario.World, journal *record.Journal, clock *loop.Clock, network loop.Network,
 	initialList any, command Command, dir, stateDir string) (*Fleet, error) {
 	f := &Fleet{world: world, journal: journal, clock: clock, network: network, initialList: initialList, command: command, dir: dir}
 	for i := range world.Dispatchers.Count {
-		p := &process{index: i, stateDir: filepath.Join(stateDir, fmt.Sprintf("d%d.state", i))}
+		p := &process{index: i, stateDir: StateDir(stateDir, i)}
 		f.processes = append(f.processes, p)
 		if err := errors.Join(f.writeConfig(i, network.AgentAddr(i)), os.MkdirAll(p.stateDir, 0o700)); err != nil {
 			return f, err
--- a/lab/lab.go
+++ b/lab/lab.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"orchiddrift/lab/agent"
+	"orchiddrift/lab/content"
 	"orchiddrift/lab/fleet"
 	"orchiddrift/lab/load"
 	"orchiddrift/lab/loop"
@@ -96,7 +97,11 @@
 	}
 	defer agents.Close()
 
-	clients := &load.Generator{World: world, Journal: journal, Clock: clock, Arrivals: world.Arrivals(), Balancer: load.NewRoundRobin(world, network, clock)}
+	clients := &load.Generator{World: world, Journal: journal, Clock: clock, Arrivals: world.Arrivals(), Balancer: load.NewRoundRobin(world, network, clock),
+		Content: &content.Source{Seed: world.Seed, Size: s.Load.BodyBytes, Plain: s.Load.ClosedLoop > 0}}
+	for i := range s.Dispatchers.Count {
+		clients.Content.Folders = append(clients.Content.Folders, fleet.StateDir(stateDir, i))
+	}
 	var dispatchers *fleet.Fleet
 	if options.Direct {
 		clients.Balancer = &load.Direct{World: world, Addr: partners.Addr}
--- a/lab/load/conn.go
+++ b/lab/load/conn.go
@@ -100,15 +100,28 @@
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout()
 }
 
+// exchangeRequest is a request as it is to be written.
+type exchangeRequest struct {
+	*fasthttp.Request
+	betweenHalves func() // if set, called between the halves of the request
+}
+
+// writeTo writes the request to a connection.
+func (r exchangeRequest) writeTo(c *clientConn) error {
+	if r.betweenHalves != nil {
+		return c.writeInHalves(r.Request, r.betweenHalves)
+	}
+	if err := r.Write(c.writer); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
 // exchange writes a request and reads its answer. It tells when the last byte of the request was written, a zero time if not all
 // of it was.
-func (c *clientConn) exchange(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) (writtenAt time.Time, err error) {
+func (c *clientConn) exchange(req exchangeRequest, resp *fasthttp.Response, deadline time.Time) (writtenAt time.Time, err error) {
 	_ = c.SetDeadline(deadline)
-	err = req.Write(c.writer)
-	if err == nil {
-		err = c.writer.Flush()
-	}
-	if err != nil {
+	if err = req.writeTo(c); err != nil {
 		return time.Time{}, errNotWhole
 	}
 	writtenAt = time.Now()
@@ -124,7 +137,7 @@
 // request sends a request on an idle connection, or on a new one if mayDial says so, and reads the answer. If a connection that
 // was used before ends without an answer, the request is sent once more, on a new connection: the dispatcher may have closed it
 // between two requests. ended is called for each attempt after which the other side ended the connection with no whole answer.
-func (p *clientPool) request(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, mayDial func() bool,
+func (p *clientPool) request(req exchangeRequest, resp *fasthttp.Response, deadline time.Time, mayDial func() bool,
 	ended func(record.Attempt, time.Time)) error {
 	conn := p.take()
 	for attempt := 0; ; attempt++ {
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -15,6 +15,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/valyala/fasthttp"
 
+	"orchiddrift/lab/content"
 	"orchiddrift/lab/loop"
 	"orchiddrift/lab/record"
 	"orchiddrift/lab/scenario"
@@ -40,12 +41,14 @@
 	Clock        *loop.Clock
 	Arrivals     []scenario.Arrival
 	Balancer     Balancer
+	Content      *content.Source // makes the bodies
 	mu           sync.Mutex
 	pools        map[route]*clientPool
 	waitingByKey map[string][]func() // submissions that wait for an earlier one of their key; an entry exists while one runs
 	lateness     *hdrhistogram.Histogram
 	submitted    atomic.Int64
-	body         []byte // of all notifications
+	foreign      sync.WaitGroup // requests of bad clients in the background
+	foreignCount atomic.Int64   // requests of bad clients so far
 }
 
 // Balancer chooses where notifications are submitted.
@@ -77,10 +80,6 @@
 	g.pools, g.waitingByKey = map[route]*clientPool{}, map[string][]func(){}
 	const maxMicros, significantDigits = 60_000_000, 3 // microseconds
 	g.lateness = hdrhistogram.New(1, maxMicros, significantDigits)
-	g.body = make([]byte, g.World.Load.BodyBytes)
-	for i := range g.body {
-		g.body[i] = byte('a' + i%26)
-	}
 	var inFlight sync.WaitGroup
 	if g.World.Load.ClosedLoop > 0 {
 		g.runClosedLoop(ctx, &inFlight)
@@ -88,6 +87,7 @@
 		g.runOpenLoop(ctx, &inFlight)
 	}
 	inFlight.Wait()
+	g.foreign.Wait()
 }
 
 // runOpenLoop submits each notification at its planned time.
@@ -182,8 +182,7 @@
 		h := &record.HandIn{ID: fmt.Sprintf("%d-%d-%d", a.Dest, planIndex, try), PlanIndex: planIndex, Try: try, Topic: topic.Name,
 			Tenant: g.World.Tenants[a.Tenant].Name, Dest: a.Dest, Key: orderKey(a), Dispatcher: target.Dispatcher,
 			PlannedAt: planned, SentAt: g.Clock.Now(), ExpiresAt: deadline}
-		g.Journal.AddHandIn(h)
-		status, wait, failure := g.post(h, topic, target, a.Client, againHeader)
+		status, wait, failure := g.post(ctx, h, topic, target, a.Client, againHeader)
 		g.Journal.WithLock(func() {
 			h.Status, h.RetryAfter, h.FailureReason, h.AnsweredAt = status, wait, failure, g.Clock.Now()
 		})
@@ -224,9 +223,9 @@
 	failureNoConnection = "no connection"
 )
 
-// post sends one submission. It returns the status and the wait in seconds of Retry-After (0: none), or status 0 and
+// post records and sends one submission. It returns the status and the wait in seconds of Retry-After (0: none), or status 0 and
 // the reason for which there is no answer.
-func (g *Generator) post(h *record.HandIn, topic scenario.Topic, to Target, clientID int, againHeader string) (int, float64, string) {
+func (g *Generator) post(ctx context.Context, h *record.HandIn, topic scenario.Topic, to Target, clientID int, againHeader string) (int, float64, string) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -247,10 +246,17 @@
 	if againHeader != "" {
 		req.Header.Set("X-Again", againHeader)
 	}
-	req.SetBodyRaw(g.body)
+	body := g.Content.Body(h.ID)
+	req.SetBodyRaw(body)
+	h.Content = content.DigestOf(string(req.Header.Peek("Idempotency-Key")), body)
+	g.Journal.AddHandIn(h)
+	foreign := g.drawForeign(h, req, body, to)
+	foreign.at(ctx, beforeRequest, g)
+	foreign.sendAside(ctx, atTheSameTime, g)
 	deadline := time.Now().Add(answerTimeout)
-	err := g.pool(route{clientID, to.Addr}).request(req, resp, deadline, func() bool { return g.mayConnect(to) },
+	err := g.pool(route{clientID, to.Addr}).request(exchangeRequest{req, foreign.betweenHalves(ctx, g)}, resp, deadline, func() bool { return g.mayConnect(to) },
 		func(attempt record.Attempt, writtenAt time.Time) { g.recordAttempt(h, attempt, writtenAt) })
+	foreign.sendAside(ctx, afterTheAnswer, g)
 	switch {
 	case err == nil:
 		wait, _ := strconv.ParseFloat(string(resp.Header.Peek("Retry-After")), 64) // 0 without the header
--- a/lab/partner/conn.go
+++ b/lab/partner/conn.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"orchiddrift/lab/behaviour"
+	"orchiddrift/lab/content"
 	"orchiddrift/lab/record"
 )
 
@@ -98,11 +99,16 @@
 	switch path := string(req.URI().Path()); {
 	case path == "/hook":
 		call.record.IDs = []string{string(req.Header.Peek("X-Call-Id"))}
+		call.record.Contents = []content.Digest{content.DigestOf(string(req.Header.Peek("Idempotency-Key")), req.Body())}
 	case path == "/hook/batch":
-		var entries []struct{ ID string }
+		var entries []struct {
+			ID, Key string
+			Body    []byte // Base64 on the wire
+		}
 		call.malformed = json.Unmarshal(req.Body(), &entries) != nil || len(entries) == 0
 		for _, entry := range entries {
 			call.record.IDs = append(call.record.IDs, entry.ID)
+			call.record.Contents = append(call.record.Contents, content.DigestOf(entry.Key, entry.Body))
 		}
 	default:
 		call.malformed = true
--- a/lab/planted/planted.go
+++ b/lab/planted/planted.go
@@ -44,7 +44,7 @@
 const ReuseConnections = "reuses"
 
 // violators lists the names that stand in place of a rule.
-var violators = []string{CloseUnanswered, ForgetOutage, ReuseConnections}
+var violators = []string{CloseUnanswered, ForgetOutage, ReuseConnections, GoByID, SearchContent}
 
 // failedFile is the file in the state folder that lists, a line each, the destinations at which pushes failed.
 const failedFile = "failed"
@@ -68,10 +68,14 @@
 	queues     map[string]chan *message   // by destination
 	waitUntil  map[string]time.Time       // by destination: no push before this time
 	accepted   int
+	pushes     int
 
 	failedPath    string          // of failedFile
 	failedEarlier map[string]bool // by destination: a push of an earlier process failed there
 
+	stateFolder string
+	knownIDs    map[string]bool // when breaking GoByID
+
 	keptConns map[string]*keptConn // by endpoint address, when breaking ReuseConnections; each is used by one destination
 }
 
@@ -94,7 +98,7 @@
 		return err
 	}
 	d := &dispatcher{brokenRule: brokenRule, agentAddr: getenv("ROUTER_DISCOVERY"), onceOnly: map[string]bool{}, servers: map[string]platform.Server{},
-		queues: map[string]chan *message{}, waitUntil: map[string]time.Time{},
+		queues: map[string]chan *message{}, waitUntil: map[string]time.Time{}, stateFolder: getenv("ROUTER_STATE"), knownIDs: map[string]bool{},
 		keptConns: map[string]*keptConn{}, client: &http.Client{Timeout: answerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
 	for _, class := range config.Settings.Classes {
 		d.onceOnly[class.Name] = class.Repeat == "single_shot"
@@ -106,6 +110,11 @@
 		}
 	}
 	d.applyList(config.Known)
+	if brokenRule == SearchContent {
+		for _, m := range d.findInContent() {
+			go d.deliver(m)
+		}
+	}
 	go d.watchList(config.Known.Version)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /_health", func(http.ResponseWriter, *http.Request) {})
@@ -160,6 +169,13 @@
 	m := &message{id: r.Header.Get("X-Call-Id"), topic: r.Header.Get("X-Call-Class"), idempotencyKey: r.Header.Get("Idempotency-Key"),
 		dest: strings.TrimPrefix(r.Header.Get("X-Addressing"), "dest="), body: body,
 		deadline: time.Now().Add(time.Duration(budgetMS) * time.Millisecond)}
+	switch {
+	case d.brokenRule == GoByID && d.isKnownID(m.id):
+		w.WriteHeader(http.StatusAccepted)
+		return
+	case d.brokenRule == SearchContent:
+		d.store(m)
+	}
 	d.mu.Lock()
 	d.accepted++
 	drop := d.brokenRule == rules.Lost && d.accepted%lossInterval == 0
@@ -277,11 +293,16 @@
 			addr = s.Addr
 		}
 	}
+	d.pushes++
+	body := m.body
+	if d.brokenRule == rules.Content && d.pushes%lossInterval == 0 {
+		body = append(bytes.Clone(body), '!')
+	}
 	d.mu.Unlock()
 	if addr == "" {
 		return -1, 0
 	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/hook", bytes.NewReader(m.body))
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/hook", bytes.NewReader(body))
 	if err != nil {
 		return -1, 0
 	}
--- a/lab/record/record.go
+++ b/lab/record/record.go
@@ -10,6 +10,8 @@
 	"math"
 	"slices"
 	"sync"
+
+	"orchiddrift/lab/content"
 )
 
 // HandIn is one try of a client to hand in a notification. Each try has its own ID.
@@ -29,10 +31,22 @@
 	Status        int     `json:"status,omitempty"` // HTTP status; 0 without an answer
 	RetryAfter    float64 `json:"retry_after,omitempty"`
 	FailureReason string  `json:"why,omitempty"` // why there is no answer: refused, closed, or late
+	// Content is the digest of what the client handed in. Foreign: a bad client used the ID of another client's hand-in.
+	Content content.Digest `json:"content,omitempty"`
+	Foreign bool           `json:"foreign,omitempty"`
 	// Unanswered lists the connections that the other side ended with no whole answer, although the request was written in full.
 	Unanswered []Attempt `json:"unanswered,omitempty"`
 }
 
+// MessageKey identifies a message: hand-ins with one ID may have different content.
+type MessageKey struct {
+	ID      string
+	Content content.Digest
+}
+
+// Message returns the message that was handed in.
+func (h *HandIn) Message() MessageKey { return MessageKey{h.ID, h.Content} }
+
 // Attempt is a request on one connection.
 type Attempt struct {
 	WrittenAt float64 `json:"written"`            // when the last byte of the request was written
@@ -69,20 +83,31 @@
 
 // Call is one call that reached an endpoint.
 type Call struct {
-	Endpoint     string      `json:"endpoint"`
-	Dest         int         `json:"dest"`
-	ConnID       int         `json:"conn"`
-	Reused       bool        `json:"reused,omitempty"` // the connection had carried a call before
-	IDs          []string    `json:"ids"`              // hand-ins that the call carries
-	FirstByteAt  float64     `json:"first"`            // when the first byte of the request arrived
-	LastByteAt   float64     `json:"last"`             // when the last byte of the request arrived
-	EndedAt      float64     `json:"end,omitempty"`    // when the answer was written or the connection ended; 0: neither yet
-	CallerClosed bool        `json:"left,omitempty"`   // the caller closed the connection before the answer
-	Status       int         `json:"status,omitempty"` // HTTP status
-	ToldWait     float64     `json:"wait,omitempty"`   // told wait of the answer
-	States       []PushState `json:"states"`           // outcome that the answer reports, for each of IDs
-	Ran          []bool      `json:"ran"`              // whether the partner really executed the push, for each of IDs
-	Cause        string      `json:"why,omitempty"`    // the simulated fault or exhausted resource behind the answer
+	Endpoint string   `json:"endpoint"`
+	Dest     int      `json:"dest"`
+	ConnID   int      `json:"conn"`
+	Reused   bool     `json:"reused,omitempty"` // the connection had carried a call before
+	IDs      []string `json:"ids"`              // hand-ins that the call carries
+
+	Contents     []content.Digest `json:"contents,omitempty"` // digests of what came for each of IDs
+	FirstByteAt  float64          `json:"first"`              // when the first byte of the request arrived
+	LastByteAt   float64          `json:"last"`               // when the last byte of the request arrived
+	EndedAt      float64          `json:"end,omitempty"`      // when the answer was written or the connection ended; 0: neither yet
+	CallerClosed bool             `json:"left,omitempty"`     // the caller closed the connection before the answer
+	Status       int              `json:"status,omitempty"`   // HTTP status
+	ToldWait     float64          `json:"wait,omitempty"`     // told wait of the answer
+	States       []PushState      `json:"states"`             // outcome that the answer reports, for each of IDs
+	Ran          []bool           `json:"ran"`                // whether the partner really executed the push, for each of IDs
+	Cause        string           `json:"why,omitempty"`      // the simulated fault or exhausted resource behind the answer
+}
+
+// Message returns the message that the call carries for the i-th of its IDs.
+func (c *Call) Message(i int) MessageKey {
+	key := MessageKey{ID: c.IDs[i]}
+	if i < len(c.Contents) {
+		key.Content = c.Contents[i]
+	}
+	return key
 }
 
 // ListUpdate is a change to the list of endpoints that the agent sent to a dispatcher.
--- a/lab/report/result.go
+++ b/lab/report/result.go
@@ -209,22 +209,23 @@
 
 // outcomeIndex holds the outcomes of hand-ins, by their IDs. Times are in seconds since the start of the run.
 type outcomeIndex struct {
-	delivered map[string]float64 // when its first delivery ended
-	firstPush map[string]float64 // when the last byte of its first push arrived
-	notices   map[string]record.Notice
+	delivered map[record.MessageKey]float64 // when its first delivery ended
+	firstPush map[record.MessageKey]float64 // when the last byte of its first push arrived
+	notices   map[string]record.Notice      // by ID
 }
 
 // readOutcomes returns the outcomes that a journal records. The journal must not change meanwhile.
 func readOutcomes(j *record.Journal) outcomeIndex {
-	index := outcomeIndex{map[string]float64{}, map[string]float64{}, map[string]record.Notice{}}
+	index := outcomeIndex{map[record.MessageKey]float64{}, map[record.MessageKey]float64{}, map[string]record.Notice{}}
 	for _, c := range j.Calls {
-		for i, id := range c.IDs {
-			if at, ok := index.firstPush[id]; !ok || c.LastByteAt < at {
-				index.firstPush[id] = c.LastByteAt
+		for i := range c.IDs {
+			key := c.Message(i)
+			if at, ok := index.firstPush[key]; !ok || c.LastByteAt < at {
+				index.firstPush[key] = c.LastByteAt
 			}
 			if i < len(c.States) && c.States[i] == record.Delivered && c.EndedAt > 0 && !c.CallerClosed {
-				if at, ok := index.delivered[id]; !ok || c.EndedAt < at {
-					index.delivered[id] = c.EndedAt
+				if at, ok := index.delivered[key]; !ok || c.EndedAt < at {
+					index.delivered[key] = c.EndedAt
 				}
 			}
 		}
@@ -243,7 +244,7 @@
 	j.WithLock(func() {
 		outcomes := readOutcomes(j)
 		for _, h := range j.HandIns {
-			_, delivered := outcomes.delivered[h.ID]
+			_, delivered := outcomes.delivered[h.Message()]
 			_, noticed := outcomes.notices[h.ID]
 			if h.Accepted() && !delivered && !noticed {
 				n++
@@ -275,6 +276,9 @@
 	answers, pushes, deliveries := newLatencies(), newLatencies(), newLatencies()
 	deliveredAt := map[int]float64{} // by index in the plan: when the notification was first delivered
 	for _, h := range journal.HandIns {
+		if h.Foreign { // the figures are those of the usual clients
+			continue
+		}
 		i := topics[h.Topic]
 		t := &r.Topics[i]
 		r.Totals.Tries++
@@ -287,7 +291,7 @@
 		case h.Accepted():
 			r.Totals.Accepted++
 			answers.add(h.AnsweredAt - h.PlannedAt)
-			if at, ok := outcomes.firstPush[h.ID]; ok {
+			if at, ok := outcomes.firstPush[h.Message()]; ok {
 				pushes.add(at - h.SentAt)
 			}
 		case h.Status > 0:
@@ -299,7 +303,7 @@
 		if !h.Accepted() {
 			continue
 		}
-		at, ok := outcomes.delivered[h.ID]
+		at, ok := outcomes.delivered[h.Message()]
 		notice, noticed := outcomes.notices[h.ID]
 		endedAt := at
 		switch {
--- a/lab/rules/flow.go
+++ b/lab/rules/flow.go
@@ -28,17 +28,17 @@
 		freeAt, blocker := math.Inf(-1), "" // when the next notification may be pushed, and the notification that sets this time
 		reason := ""
 		for _, h := range queue {
-			for _, p := range c.pushes[h.ID] {
+			for _, p := range c.pushes[h.Message()] {
 				if p.FirstByteAt < freeAt-timingSlack {
 					c.report(Violation{Rule: Order, At: p.FirstByteAt, Dispatcher: h.Dispatcher, ID: h.ID, Endpoint: p.Endpoint, Evidence: fmt.Sprintf(
 						"pushed at %.3f; %s of the same key (%s) was accepted before it and %s until %.3f", p.FirstByteAt, blocker, h.Key, reason, freeAt)})
 				}
 			}
-			answeredAt, _ := c.finalAnswer(h.ID)
+			answeredAt, _ := c.finalAnswer(h)
 			if answeredAt = min(answeredAt, h.ExpiresAt+answerGrace); answeredAt > freeAt {
 				freeAt, blocker, reason = answeredAt, h.ID, "had no final answer"
 			}
-			for _, p := range c.pushes[h.ID] {
+			for _, p := range c.pushes[h.Message()] {
 				end := p.EndedAt
 				if end == 0 {
 					end = math.Inf(1)
--- a/lab/rules/rules.go
+++ b/lab/rules/rules.go
@@ -29,12 +29,14 @@
 	Order = "order"
 	// ToldWait: no call goes to a destination during a told wait.
 	ToldWait = "waits"
+	// Content: an endpoint gets what was handed in under an ID, to the byte.
+	Content = "content"
 	// Crash: no dispatcher exits without being asked to or exceeds its resource limits.
 	Crash = "crash"
 )
 
 // All lists the names of all rules in the order of the reports.
-var All = []string{Lost, Duplicate, Draining, Overload, Order, ToldWait, Crash}
+var All = []string{Lost, Duplicate, Draining, Overload, Order, ToldWait, Content, Crash}
 
 // The tolerances of the rules.
 const (
@@ -91,8 +93,9 @@
 	journal     *record.Journal
 	endedAt     float64 // when the run ended
 	topics      map[string]scenario.Topic
-	handIns     map[string]*record.HandIn
-	pushes      map[string][]push // by notification, in the order of their last bytes
+	handIns     map[record.MessageKey]*record.HandIn
+	sharedIDs   map[string][]*record.HandIn  // by ID; more than one if a bad client used the ID of another client's hand-in
+	pushes      map[record.MessageKey][]push // by notification, in the order of their last bytes
 	notices     map[string]record.Notice
 	violations  []Violation
 	recoveries  []Recovery
@@ -115,22 +118,24 @@
 
 // CheckAll is Check, and also returns what is allowed but worth a report.
 func CheckAll(world *scenario.World, journal *record.Journal, end float64) Verdict {
-	c := &checker{world: world, journal: journal, endedAt: end, topics: map[string]scenario.Topic{}, handIns: map[string]*record.HandIn{},
-		pushes: map[string][]push{}, notices: map[string]record.Notice{}, excuses: map[string]int{}, outagesSeen: map[outageKey]bool{}}
+	c := &checker{world: world, journal: journal, endedAt: end, topics: map[string]scenario.Topic{}, handIns: map[record.MessageKey]*record.HandIn{},
+		sharedIDs: map[string][]*record.HandIn{}, pushes: map[record.MessageKey][]push{}, notices: map[string]record.Notice{}, excuses: map[string]int{}, outagesSeen: map[outageKey]bool{}}
 	for _, t := range world.Topics {
 		c.topics[t.Name] = t
 	}
 	for _, h := range journal.HandIns {
-		c.handIns[h.ID] = h
+		c.handIns[h.Message()] = h
+		c.sharedIDs[h.ID] = append(c.sharedIDs[h.ID], h)
 	}
 	slices.SortStableFunc(journal.Calls, func(a, b *record.Call) int { return cmp.Compare(a.LastByteAt, b.LastByteAt) })
 	for _, call := range journal.Calls {
-		for i, id := range call.IDs {
+		for i := range call.IDs {
 			p := push{Call: call}
 			if i < len(call.States) {
 				p.state, p.ran = call.States[i], call.Ran[i]
 			}
-			c.pushes[id] = append(c.pushes[id], p)
+			key := call.Message(i)
+			c.pushes[key] = append(c.pushes[key], p)
 		}
 	}
 	for _, n := range journal.Notices {
@@ -145,6 +150,7 @@
 	c.checkOverload()
 	c.checkOrder()
 	c.checkToldWaits()
+	c.checkContent()
 	for _, event := range journal.ProcessEvents {
 		if event.Kind == record.Crashed || event.Kind == record.LimitExceeded {
 			c.report(Violation{Rule: Crash, At: event.At, Dispatcher: event.Dispatcher, Evidence: event.Detail})
@@ -183,14 +189,14 @@
 }
 
 // finalAnswer returns the time and the outcome of a notification's final answer, or an infinite time if there is none.
-func (c *checker) finalAnswer(id string) (float64, string) {
+func (c *checker) finalAnswer(h *record.HandIn) (float64, string) {
 	at, outcome := math.Inf(1), ""
-	for _, p := range c.pushes[id] {
+	for _, p := range c.pushes[h.Message()] {
 		if p.delivered() && p.EndedAt < at {
 			at, outcome = p.EndedAt, outcomeDelivered
 		}
 	}
-	if n, ok := c.notices[id]; ok && n.At < at {
+	if n, ok := c.noticeOf(h); ok && n.At < at {
 		at, outcome = n.At, n.Outcome
 	}
 	return at, outcome
@@ -236,7 +242,7 @@
 // checkLost checks that each accepted notification has a final answer in time and is not pushed after it.
 func (c *checker) checkLost() {
 	for _, h := range c.journal.HandIns {
-		answeredAt, outcome := c.finalAnswer(h.ID)
+		answeredAt, outcome := c.finalAnswer(h)
 		if deadline := c.answerDeadline(h); h.Accepted() && answeredAt > deadline && deadline <= c.endedAt {
 			text := "no final answer"
 			if !math.IsInf(answeredAt, 1) {
@@ -245,7 +251,7 @@
 			c.report(Violation{Rule: Lost, At: deadline, Dispatcher: h.Dispatcher, ID: h.ID, Evidence: fmt.Sprintf(
 				"accepted at %.3f, TTL expired at %.3f, final answer due by %.3f; %s", h.AnsweredAt, h.ExpiresAt, deadline, text)})
 		}
-		for _, p := range c.pushes[h.ID] {
+		for _, p := range c.pushes[h.Message()] {
 			if p.FirstByteAt > answeredAt+timingSlack && !c.hasEvent(h.Dispatcher, answeredAt-timingSlack, p.FirstByteAt, record.Started) &&
 				!(outcome == outcomeDelivered && c.stalledAt(h.Dispatcher, answeredAt)) {
 				c.report(Violation{Rule: Lost, At: p.FirstByteAt, Dispatcher: h.Dispatcher, ID: h.ID, Endpoint: p.Endpoint,
@@ -259,7 +265,7 @@
 func (c *checker) checkDuplicates() {
 	executions := map[int][]push{} // pushes of once-only notifications that took effect, by index in the plan
 	for _, h := range c.journal.HandIns {
-		topic, pushes := c.topics[h.Topic], c.pushes[h.ID]
+		topic, pushes := c.topics[h.Topic], c.pushes[h.Message()]
 		reportPush := func(p push, format string, args ...any) {
 			c.report(Violation{Rule: Duplicate, At: p.LastByteAt, Dispatcher: h.Dispatcher, ID: h.ID, Endpoint: p.Endpoint,
 				Evidence: fmt.Sprintf("%s, pushed at %.3f: ", topic.Repeat, p.LastByteAt) + fmt.Sprintf(format, args...)})
@@ -294,7 +300,7 @@
 				executions[h.PlanIndex] = append(executions[h.PlanIndex], current)
 			}
 		}
-		if n := c.notices[h.ID]; n.Outcome == record.HandedBack && topic.Repeat == scenario.OnceOnly {
+		if n, _ := c.noticeOf(h); n.Outcome == record.HandedBack && topic.Repeat == scenario.OnceOnly {
 			if i := slices.IndexFunc(pushes, push.mayHaveRun); i >= 0 {
 				c.report(Violation{Rule: Duplicate, At: n.At, Dispatcher: h.Dispatcher, ID: h.ID, Endpoint: pushes[i].Endpoint, Evidence: fmt.Sprintf(
 					"handed back at %.3f, but its push of %.3f may have run (%s)", n.At, pushes[i].LastByteAt, describeEnd(pushes[i]))})
@@ -346,10 +352,13 @@
 
 // dispatcherOf returns the dispatcher that sent a call, or -1 if no client handed in any of its notifications.
 func (c *checker) dispatcherOf(call *record.Call) int {
-	for _, id := range call.IDs {
-		if h := c.handIns[id]; h != nil {
+	for i, id := range call.IDs {
+		if h := c.handIns[call.Message(i)]; h != nil {
 			return h.Dispatcher
 		}
+		if sharing := c.sharedIDs[id]; len(sharing) > 0 {
+			return sharing[0].Dispatcher
+		}
 	}
 	return -1
 }
@@ -366,7 +375,7 @@
 	for _, call := range c.journal.Calls {
 		dispatcher := c.dispatcherOf(call)
 		for _, id := range call.IDs {
-			if h := c.handIns[id]; h == nil || h.Dest != call.Dest {
+			if sharing := c.sharedIDs[id]; len(sharing) == 0 || sharing[0].Dest != call.Dest {
 				c.report(Violation{Rule: Draining, At: call.FirstByteAt, Dispatcher: dispatcher, ID: id, Endpoint: call.Endpoint,
 					Evidence: "endpoint of another destination, or a notification that no client handed in"})
 			}
--- a/lab/rules/unanswered.go
+++ b/lab/rules/unanswered.go
@@ -39,7 +39,7 @@
 			}
 			c.report(Violation{Rule: Lost, At: attempt.EndedAt, Dispatcher: h.Dispatcher, ID: h.ID, Evidence: fmt.Sprintf(
 				"written in full at %.4f on %s, its connection ended with no answer %.4f s later (reused %v, idle for %.3f s; pushed %d times)",
-				attempt.WrittenAt, attempt.LocalAddr, attempt.EndedAt-attempt.WrittenAt, attempt.Reused, attempt.IdleFor, len(c.pushes[h.ID]))})
+				attempt.WrittenAt, attempt.LocalAddr, attempt.EndedAt-attempt.WrittenAt, attempt.Reused, attempt.IdleFor, len(c.pushes[h.Message()]))})
 		}
 	}
 }
--- a/lab/scenario/check.go
+++ b/lab/scenario/check.go
@@ -7,7 +7,7 @@
 
 // troubleKinds lists all kinds of trouble. Those that affect partners come first, up to Drain.
 var troubleKinds = []string{RefuseConnections, Hang, FailCalls, SlowAnswers, LoseAnswers, ResetConnections, BreakReused, LateAnswers,
-	TruncateAnswers, CorruptAnswers, CloseAfterAnswer, CopyAnswers, StrayAnswers, RejectAll, ChangeLimit, Drain, Kill, Restart, Stall, ListDown, ListSlow, AgentCopies, AgentStrays, AgentLost, SignalSeries, MoveAgent, Surge, HotClient, BusyDisk}
+	TruncateAnswers, CorruptAnswers, CloseAfterAnswer, CopyAnswers, StrayAnswers, RejectAll, ChangeLimit, Drain, Kill, Restart, Stall, ListDown, ListSlow, AgentCopies, AgentStrays, AgentLost, SignalSeries, MoveAgent, SameID, Surge, HotClient, BusyDisk}
 
 // AffectsPartners reports whether the trouble affects the endpoints of destinations.
 func (t Trouble) AffectsPartners() bool {
@@ -16,7 +16,7 @@
 
 // AffectsDispatchers reports whether the trouble affects dispatchers or their agents.
 func (t Trouble) AffectsDispatchers() bool {
-	return slices.Contains([]string{Kill, Restart, Stall, SignalSeries, ListDown, ListSlow, AgentCopies, AgentStrays, AgentLost, MoveAgent}, t.Kind)
+	return slices.Contains([]string{Kill, Restart, Stall, SignalSeries, ListDown, ListSlow, AgentCopies, AgentStrays, AgentLost, MoveAgent, SameID}, t.Kind)
 }
 
 // Upper bounds of a scenario. They keep a run within the resources of one machine and limit its duration.
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -176,6 +176,7 @@
 	AgentLost         = "agent-lost"  // a share of the requests with notices is ignored: the agent closes their connections
 	SignalSeries      = "series"      // dispatchers are killed, terminated and stalled in succession, also while they start
 	MoveAgent         = "move"        // the agent's address changes: dispatchers get a new configuration and SIGHUP
+	SameID            = "same-id"     // bad clients use the IDs of a share of the hand-ins, for something else
 	Surge             = "surge"       // the load is multiplied by the factor
 	HotClient         = "hot"         // one client process sends additional load, the factor times the rate
 	BusyDisk          = "busy-disk"   // another process writes to the disk of the dispatchers' state directories
--- a/lab/scenario/world.go
+++ b/lab/scenario/world.go
@@ -341,6 +341,20 @@
 	return 0
 }
 
+// SameIDShare returns the share of the hand-ins to a dispatcher whose IDs bad clients use at a time, in seconds.
+func (w *World) SameIDShare(now float64, dispatcher int) float64 {
+	share := 0.0
+	for _, t := range w.Troubles {
+		if t.Kind == SameID && now >= t.At && now < t.End() && t.AppliesToDispatcher(dispatcher) {
+			share = max(share, t.Share)
+			if t.Share == 0 { // all
+				share = 1
+			}
+		}
+	}
+	return share
+}
+
 // AppliesToDispatcher reports whether a trouble of dispatchers affects the given one.
 func (t Trouble) AppliesToDispatcher(dispatcher int) bool {
 	return len(t.Dispatchers) == 0 || slices.Contains(t.Dispatchers, dispatcher)
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -83,6 +83,7 @@
 	for range int(math.Ceil(outOfTurnPerSecond * length)) {
 		s.Troubles = append(s.Troubles, drawOutOfTurn(s, outOfTurn))
 	}
+	s.Troubles = append(s.Troubles, drawSameID(s, newRand(seed, sameIDStream))...)
 	if wide { // after the faults are drawn, so that they only affect destinations with listeners of their own
 		group := s.Groups[len(s.Groups)-1]
 		group.Count, group.Endpoints, group.SharedListeners, group.Share, group.Distribution = wideDestinations, wideEndpoints, wideListeners, wideShare, scenario.EvenShares
@@ -111,6 +112,7 @@
 	terminatingStream
 	outOfTurnStream
 	copyStream
+	sameIDStream
 )
 
 // drawTrouble draws one fault.
@@ -191,6 +193,19 @@
 // hangLead is how long before a series the faults of its destinations begin, in seconds.
 const hangLead = 0.8
 
+// sameIDShares are the shares of the hand-ins whose IDs bad clients use in a plan.
+var sameIDShares = []float64{0, 0.02, 0.1, 0.5}
+
+// drawSameID draws bad clients that use the IDs of other clients' hand-ins, or none.
+func drawSameID(s *scenario.Scenario, random *rand.Rand) []scenario.Trouble {
+	share := sameIDShares[random.IntN(len(sameIDShares))]
+	if share == 0 {
+		return nil
+	}
+	at := quietStart + random.Float64()*(s.Length-quietStart)/2
+	return []scenario.Trouble{{Kind: scenario.SameID, At: at, Duration: s.Length - at, Share: share}}
+}
+
 // countDestinations returns the number of destinations in a scenario.
 func countDestinations(s *scenario.Scenario) int {
 	n := 0
