Mend: the watch on the list starts again after a loss and a late answer in one turn

Cause: the scheduler told a lost watch by the failures since the last applied list; the late answer of the overdue request sets that count back, and where both come before the next turn nothing asks again.

Change: the directory counts failures for good, and the scheduler compares that count with the one at its last request.

Why it works: no event but a request itself can hide the end of a watch.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -114,7 +114,7 @@
 // maintain returns the maintenance that is due.
 func (s *Scheduler) maintain(now float64) Decision {
 	if s.nextListRequest <= now {
-		s.revisionAtRequest, s.nextListRequest = s.dir.Revision, never
+		s.failuresAtRequest, s.nextListRequest = s.dir.Failures, never
 		return Decision{Action: WatchList}
 	}
 	dueIndex := slices.IndexFunc(s.idleEndpoints, func(idle idleEndpoint) bool { return s.idleCloseAt(now, idle) <= now })
@@ -740,8 +740,8 @@
 // nextMaintenance returns when maintenance is due: requesting the list of endpoints, at start and with a random delay after a
 // failure, or closing idle connections. It removes endpoints that are no longer idle from idleEndpoints.
 func (s *Scheduler) nextMaintenance(now float64) float64 {
-	if s.listOnRequest && s.nextListRequest == never && s.dir.ConsecutiveFailures > 0 && s.dir.Revision != s.revisionAtRequest {
-		s.revisionAtRequest = s.dir.Revision
+	if s.listOnRequest && s.nextListRequest == never && s.dir.Failures != s.failuresAtRequest { // a list applied since does not start a watch
+		s.failuresAtRequest = s.dir.Failures
 		s.nextListRequest = now + setAsideJitter*(1+s.rng.float())
 	}
 	stale := func(idle idleEndpoint) bool {
--- a/decide/state.go
+++ b/decide/state.go
@@ -24,7 +24,7 @@
 	quotas                 TenantQuotas
 	tenantArrivals         map[string][]float64           // when the last notifications of each tenant arrived
 	listOnRequest          bool                           // the list is sent only on request
-	revisionAtRequest      int                            // revision of the list when it was last requested
+	failuresAtRequest      int                            // failures of watches when the list was last requested, or its request planned
 	revisionAtEviction     int                            // revision of the list when unused state was last evicted
 	nextListRequest        float64                        // when to request the list; never if that is not due
 	held                   map[string]*heldNotification   // by ID
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -23,10 +23,10 @@
 
 // Directory is a dispatcher's copy of the list. It is not safe for concurrent use.
 type Directory struct {
-	byDest              map[string][]Endpoint // by destination; empty for a known destination without endpoints
-	positions           map[string]position   // by endpoint ID
-	Revision            int                   // number of applied updates and recorded failures
-	ConsecutiveFailures int                   // failed watches and fetches since the last successful update
+	byDest    map[string][]Endpoint // by destination; empty for a known destination without endpoints
+	positions map[string]position   // by endpoint ID
+	Revision  int                   // number of applied updates and recorded failures
+	Failures  int                   // number of failed watches and fetches
 }
 
 // position is the index of an endpoint among the endpoints of its destination.
@@ -57,7 +57,6 @@
 // endpoint.
 func (d *Directory) Apply(list []Endpoint) {
 	d.Revision++
-	d.ConsecutiveFailures = 0
 	for _, e := range list {
 		d.set(e)
 	}
@@ -76,7 +75,7 @@
 // RecordFailure records that a watch or a fetch failed. The list stays as it is.
 func (d *Directory) RecordFailure() {
 	d.Revision++
-	d.ConsecutiveFailures++
+	d.Failures++
 }
 
 // Endpoints returns the listed endpoints of a destination, without those that are gone. The caller must not modify the
