--- a/cmd/orchiddrift/commands_test.go
+++ b/cmd/orchiddrift/commands_test.go
@@ -64,6 +64,6 @@
 	// ledger verify nowhere: 1
 	//   orchiddrift: stat nowhere: no such file or directory
 	// lab run rules --length 2 --planted crash -q: 3
-	//   rule crash   BROKEN 1 times
+	//   rule crash    BROKEN 1 times
 	//   left report.html
 }
