Segments, requests: state that could be derived, and loops that stood twice

A pending message's fingerprint is asked of the message, so that a start no longer hashes all that is owed. A segment without a valid header has version 0 in place of a flag. Migration and Compact share one loop; where a start was cut short in a migration, the next one also rewrites what it had written. Records of version 1 are encoded in one place of the ledger's tests.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,7 +58,6 @@
 // pendingMessage is an accepted message that is not settled yet.
 type pendingMessage struct {
 	message       *message.Message
-	fingerprint   message.Fingerprint
 	call          *Call           // the call that carries its push; nil for none
 	noticePending bool            // its notice has not been answered yet
 	startBy       float64         // latest time at which its push may start
@@ -131,7 +130,7 @@
 		m := r.Message
 		m.TimeLeft, m.Restored, m.NoticePending = m.ExpiresAt-now, true, r.Notice != nil
 		m.LastPushFailed = g.lastCallFailed(r.LastCall, lastStart)
-		g.pending[m.ID] = &pendingMessage{message: m, fingerprint: m.Fingerprint(), noticePending: m.NoticePending}
+		g.pending[m.ID] = &pendingMessage{message: m, noticePending: m.NoticePending}
 		g.registerWithChecker(m)
 		g.execute(now, g.scheduler.Place(now, m.Notification))
 		if n := r.Notice; n != nil {
@@ -249,9 +248,9 @@
 
 // handleArrived accepts or refuses a message.
 func (g *Gateway) handleArrived(now float64, e Arrived) {
-	m, fingerprint := e.Message, e.Message.Fingerprint()
+	m := e.Message
 	known, idInUse := g.fingerprintOf(m.ID)
-	if idInUse && known == fingerprint { // the request of a pending or settled message, sent once more
+	if idInUse && known == m.Fingerprint() { // the request of a pending or settled message, sent once more
 		g.emit(Answer{m.ID, e.Respond, Reply{Accepted: true}})
 		return
 	}
@@ -269,7 +268,7 @@
 		g.emit(Answer{m.ID, e.Respond, Reply{RetryIn: d.RetryIn, Reason: NotPlaceable}})
 		return
 	}
-	g.pending[m.ID] = &pendingMessage{message: m, fingerprint: fingerprint}
+	g.pending[m.ID] = &pendingMessage{message: m}
 	g.registerWithChecker(m)
 	g.recoveryChecker.Arrived(now, m.Dest)
 	g.emit(Accept{m, e.Respond})
@@ -278,7 +277,7 @@
 // fingerprintOf returns the fingerprint of the pending or settled message with an ID, and reports whether there is one.
 func (g *Gateway) fingerprintOf(id string) (message.Fingerprint, bool) {
 	if p := g.pending[id]; p != nil {
-		return p.fingerprint, true
+		return p.message.Fingerprint(), true
 	}
 	settled, ok := g.settled[id]
 	return settled.fingerprint, ok
@@ -359,7 +358,7 @@
 // request is sent once more.
 func (g *Gateway) remove(id string) {
 	if p := g.pending[id]; p != nil {
-		g.settled[id] = settledMessage{p.message.ExpiresAt, p.fingerprint}
+		g.settled[id] = settledMessage{p.message.ExpiresAt, p.message.Fingerprint()}
 	}
 	g.checker.Finished(id)
 	delete(g.pending, id)
--- a/ledger/compact.go
+++ b/ledger/compact.go
@@ -114,20 +114,24 @@
 	if l.log.OldestVersion() == seglog.FormatVersion || l.log.StartSegment() != nil {
 		return
 	}
-	for l.log.OldestVersion() != seglog.FormatVersion {
+	_ = l.rewriteOlderSegments()
+}
+
+// rewriteOlderSegments rewrites all pending notifications of the segments before the newest one, and frees their files.
+func (l *Ledger) rewriteOlderSegments() error {
+	for newest := l.log.NewestSegment(); l.log.UsedFiles() > 1 && l.log.OldestSegment() < newest; {
 		if _, err := l.compactStep(maxSegmentBytes); err != nil {
-			return
+			return fmt.Errorf("ledger: %w", err)
 		}
 	}
+	return nil
 }
 
 // Compact rewrites all pending notifications of the older segments, and removes the files that become free, except for
 // the reserved ones.
 func (l *Ledger) Compact() error {
-	for newest := l.log.NewestSegment(); l.log.UsedFiles() > 1 && l.log.OldestSegment() < newest; {
-		if _, err := l.compactStep(maxSegmentBytes); err != nil {
-			return fmt.Errorf("ledger: %w", err)
-		}
+	if err := l.rewriteOlderSegments(); err != nil {
+		return err
 	}
 	l.log.TrimFree(reservedFiles)
 	return nil
--- a/ledger/content_test.go
+++ b/ledger/content_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"fmt"
-	"hash/crc32"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -103,10 +101,7 @@
 
 // entryV1 returns a record with a message in the form of format version 1, repeated.
 func entryV1(seq uint64) []byte {
-	b := append(binary.LittleEndian.AppendUint64(nil, seq), ledger.EncodeRecord(accepted("forged", 20))...)
-	entry := binary.LittleEndian.AppendUint32(nil, uint32(len(b)-8))
-	entry = append(binary.LittleEndian.AppendUint32(entry, crc32.Checksum(b, crc32.MakeTable(crc32.Castagnoli))), b...)
-	return bytes.Repeat(entry, 100)
+	return bytes.Repeat(encodeV1(seq, accepted("forged", 20)), 100)
 }
 
 // Guards against messages that nobody handed in: bytes of a ledger in the bodies of messages are read as records at a restart, from
--- a/ledger/version1_test.go
+++ b/ledger/version1_test.go
@@ -51,11 +51,16 @@
 
 // writeNumbered appends a record with a number.
 func (s *segmentV1) writeNumbered(seq uint64, r ledger.Record) {
+	s.offsets = append(s.offsets, s.end)
+	s.end += copy(s.content[s.end:], encodeV1(seq, r))
+}
+
+// encodeV1 returns a record with a number in the form of format version 1.
+func encodeV1(seq uint64, r ledger.Record) []byte {
 	b := append(binary.LittleEndian.AppendUint64(nil, seq), ledger.EncodeRecord(r)...)
-	binary.LittleEndian.PutUint32(s.content[s.end:], uint32(len(b)-8))
-	binary.LittleEndian.PutUint32(s.content[s.end+4:], crc32.Checksum(b, crc32.MakeTable(crc32.Castagnoli)))
-	copy(s.content[s.end+8:], b)
-	s.offsets, s.end = append(s.offsets, s.end), s.end+8+len(b)
+	header := binary.LittleEndian.AppendUint32(nil, uint32(len(b)-8))
+	header = binary.LittleEndian.AppendUint32(header, crc32.Checksum(b, crc32.MakeTable(crc32.Castagnoli)))
+	return append(header, b...)
 }
 
 // sequenced returns an Accepted record with its place in the order.
--- a/seglog/header.go
+++ b/seglog/header.go
@@ -30,7 +30,7 @@
 
 // segmentHeader is the header of a segment file.
 type segmentHeader struct {
-	version byte
+	version byte   // 0 if the file has no valid header
 	number  int    // number of the segment; 0 if the file is free
 	baseSeq uint64 // sequence number of the last record before the segment
 	salt    uint64 // drawn anew each time the file is used; 0 in version 1
@@ -64,25 +64,25 @@
 	return len(b) >= offset+checksumSize && crc32.Checksum(b[:offset], crcTable) == binary.LittleEndian.Uint32(b[offset:])
 }
 
-// decodeHeader decodes the first bytes of a file. It reports whether they are a valid header; without one, a file was never used, or
-// a write of its header was interrupted, and it holds no records.
-func decodeHeader(b []byte) (segmentHeader, bool, error) {
+// decodeHeader decodes the first bytes of a file. Without a valid header, which has version 0 then, a file was never used, or a write of
+// its header was interrupted, and it holds no records.
+func decodeHeader(b []byte) (segmentHeader, error) {
 	if len(b) < headerSizeV1 || string(b[:len(magic)]) != magic || !hasChecksum(b, checksumOffset) {
-		return segmentHeader{}, false, nil
+		return segmentHeader{}, nil
 	}
 	h := segmentHeader{version: b[versionOffset], number: int(binary.LittleEndian.Uint32(b[numberOffset:])),
 		baseSeq: binary.LittleEndian.Uint64(b[baseSeqOffset:])}
 	switch h.version {
-	case 1:
-		return h, true, nil
+	case versionOne:
+		return h, nil
 	case FormatVersion:
 		if !hasChecksum(b, endChecksumOffset) {
-			return segmentHeader{}, false, nil
+			return segmentHeader{}, nil
 		}
 		h.salt = binary.LittleEndian.Uint64(b[saltOffset:])
-		return h, true, nil
+		return h, nil
 	}
-	return segmentHeader{}, false, fmt.Errorf("%w: got %d, want at most %d", ErrVersion, h.version, FormatVersion)
+	return segmentHeader{}, fmt.Errorf("%w: got %d, want at most %d", ErrVersion, h.version, FormatVersion)
 }
 
 // readHeader reads the header of a file into s.
@@ -92,7 +92,7 @@
 	if n < len(b) && err != nil && !errors.Is(err, io.EOF) {
 		return err
 	}
-	s.header, s.hasHeader, err = decodeHeader(b[:n])
+	s.header, err = decodeHeader(b[:n])
 	return err
 }
 
@@ -102,6 +102,6 @@
 	if n, err := s.file.WriteAt(b, 0); n < len(b) || err != nil {
 		return fmt.Errorf("%s: %w", s.name, orShortWrite(err))
 	}
-	s.header, s.hasHeader = h, true
+	s.header = h
 	return nil
 }
--- a/seglog/read.go
+++ b/seglog/read.go
@@ -107,9 +107,9 @@
 			return fmt.Errorf("%s: %w", name, err)
 		}
 		switch {
-		case s.hasHeader && s.header.number > 0:
+		case s.header.number > 0:
 			l.inUse = append(l.inUse, s)
-		case s.hasHeader && s.size == l.segmentBytes || readOnly:
+		case s.header.version == FormatVersion && s.size == l.segmentBytes || readOnly:
 			l.free = append(l.free, s)
 		default: // not fully allocated, of another size, or of another version
 			l.removeFile(s)
@@ -163,7 +163,7 @@
 		return fmt.Errorf("read %d of %d bytes: %w", n, len(b), err)
 	}
 	l.lastSeq = s.header.baseSeq
-	if s.header.version == 1 {
+	if s.header.version == versionOne {
 		l.readRecordsV1(s, b, end, v)
 	} else {
 		l.readRecords(s, b, end, v)
--- a/seglog/seglog.go
+++ b/seglog/seglog.go
@@ -47,7 +47,6 @@
 	name        string
 	file        disk.File
 	header      segmentHeader
-	hasHeader   bool // the file has a valid header
 	size        int  // of the file, in bytes
 	writeOffset int  // offset of the next record, in bytes
 	wipeFailed  bool // a failed write remains after writeOffset and may be a valid record
@@ -206,7 +205,7 @@
 			}
 		}
 		l.lastFileNumber++
-		l.free = append(l.free, &segment{name: name, file: f, header: freeHeader(), hasHeader: true, size: l.segmentBytes})
+		l.free = append(l.free, &segment{name: name, file: f, header: freeHeader(), size: l.segmentBytes})
 	}
 	return nil
 }
--- a/seglog/version1.go
+++ b/seglog/version1.go
@@ -17,6 +17,7 @@
 // A record of an earlier use that begins exactly where the newest segment's last record ends, with a number that is a little higher,
 // cannot be told from one of this use. The first append begins a segment of the current version, whose header tells where version 1 ended.
 const (
+	versionOne         = 1
 	headerSizeV1       = checksumOffset + checksumSize
 	recordHeaderSizeV1 = 16
 	// maxSeqGapV1 is by how much successive sequence numbers may differ. Failed writes used up a number each.
@@ -58,18 +59,21 @@
 // readRecordsV1 reads the records of a segment of version 1 that holds b.
 func (l *Log) readRecordsV1(s *segment, b []byte, end logEnd, v visitor) {
 	s.writeOffset = headerSizeV1
-	for !end.known || l.lastSeq != end.seq {
+	for end.recordsAhead(l.lastSeq) > 0 {
 		r, ok := parseRecordV1(b[s.writeOffset:], l.lastSeq)
-		if !ok && end.known {
-			skip := skipDamageV1(b[s.writeOffset:], l.lastSeq, end.seq)
+		if !ok {
+			skip := 0
+			if end.known {
+				skip = skipDamageV1(b[s.writeOffset:], l.lastSeq, end.seq)
+			}
 			if skip == 0 {
 				return
 			}
 			v.damage(s, s.writeOffset, skip)
 			s.writeOffset += skip
-			r, ok = parseRecordV1(b[s.writeOffset:], l.lastSeq)
+			continue
 		}
-		if !ok || end.known && r.seq-l.lastSeq > end.recordsAhead(l.lastSeq) { // or a record of a failed write
+		if r.seq-l.lastSeq > end.recordsAhead(l.lastSeq) { // a record of a failed write
 			return
 		}
 		v.record(s, r.content, r.size)
