--- a/lab/agent/agent.go
+++ b/lab/agent/agent.go
@@ -202,7 +202,7 @@
 
 // listDownUntil reports whether a dispatcher's requests for the list go unanswered, and if so until when.
 func (a *Agents) listDownUntil(dispatcher int, now float64) (float64, bool) {
-	for _, t := range a.activeTroubles(dispatcher, now, scenario.ListDown) {
+	for _, t := range a.world.ActiveTroubles(dispatcher, now, scenario.ListDown) {
 		return t.End(), true
 	}
 	return 0, false
@@ -210,7 +210,7 @@
 
 // extraDelay returns by how many seconds a response with the list is delayed now.
 func (a *Agents) extraDelay(dispatcher int, now float64) float64 {
-	for _, t := range a.activeTroubles(dispatcher, now, scenario.ListSlow) {
+	for _, t := range a.world.ActiveTroubles(dispatcher, now, scenario.ListSlow) {
 		return t.Factor
 	}
 	return 0
--- a/lab/agent/unsolicited.go
+++ b/lab/agent/unsolicited.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 
 	"orchiddrift/lab/behaviour"
@@ -81,27 +80,17 @@
 func (f *follower) draw() (list []behaviour.Unsolicited) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, t := range f.agents.activeTroubles(f.dispatcher, f.agents.clock.Now(), scenario.AgentCopies, scenario.AgentStrays) {
+	for _, t := range f.agents.world.ActiveTroubles(f.dispatcher, f.agents.clock.Now(), scenario.AgentCopies, scenario.AgentStrays) {
 		list = append(list, behaviour.DrawUnsolicited(t, t.Kind == scenario.AgentCopies, f.random)...)
 	}
 	return list
 }
 
-// activeTroubles returns the troubles of some kinds that act on a dispatcher's agent at the time now, in the scenario's order.
-func (a *Agents) activeTroubles(dispatcher int, now float64, kinds ...string) (active []scenario.Trouble) {
-	for _, t := range a.world.Troubles {
-		if slices.Contains(kinds, t.Kind) && now >= t.At && now < t.End() && t.AppliesToDispatcher(dispatcher) {
-			active = append(active, t)
-		}
-	}
-	return active
-}
-
 // losesNotices reports whether a request with notices that has come now is ignored.
 func (a *Agents) losesNotices(dispatcher int) bool {
 	a.lostMu.Lock()
 	defer a.lostMu.Unlock()
-	for _, t := range a.activeTroubles(dispatcher, a.clock.Now(), scenario.AgentLost) {
+	for _, t := range a.world.ActiveTroubles(dispatcher, a.clock.Now(), scenario.AgentLost) {
 		if a.lost.Float64() < t.Share {
 			return true
 		}
--- a/lab/content/content.go
+++ b/lab/content/content.go
@@ -70,25 +70,31 @@
 
 // folderBytes returns a window of a file of a dispatcher's folder, or random bytes if none can be read.
 func (s *Source) folderBytes(random *rand.Rand) []byte {
-	if len(s.Folders) == 0 {
-		return randomBytes(random, s.Size)
-	}
-	files, _ := filepath.Glob(filepath.Join(s.Folders[random.IntN(len(s.Folders))], "segment-*"))
-	if len(files) == 0 {
-		return randomBytes(random, s.Size)
+	if len(s.Folders) > 0 {
+		files, _ := filepath.Glob(filepath.Join(s.Folders[random.IntN(len(s.Folders))], "segment-*"))
+		if len(files) > 0 {
+			if window, err := readWindow(files[random.IntN(len(files))], random); err == nil {
+				return window
+			}
+		}
 	}
-	file, err := os.Open(files[random.IntN(len(files))])
+	return randomBytes(random, s.Size)
+}
+
+// readWindow returns some bytes of a file.
+func readWindow(name string, random *rand.Rand) ([]byte, error) {
+	file, err := os.Open(name)
 	if err != nil {
-		return randomBytes(random, s.Size)
+		return nil, err
 	}
 	defer file.Close()
 	info, err := file.Stat()
 	if err != nil {
-		return randomBytes(random, s.Size)
+		return nil, err
 	}
 	window := make([]byte, windowMinimum+random.IntN(maxHostile-windowMinimum))
-	n, _ := file.ReadAt(window, random.Int64N(max(1, info.Size()-windowMinimum)))
-	return window[:n]
+	n, _ := file.ReadAt(window, random.Int64N(max(1, info.Size()-windowMinimum))) // the file may end within the window
+	return window[:n], nil
 }
 
 // recordBytes returns records of the ledger, in the form of segments of version 1, each with a message that nobody handed in.
@@ -118,20 +124,19 @@
 
 // httpHeads returns heads of requests and answers.
 func httpHeads(random *rand.Rand) []byte {
-	heads := []string{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "POST /api HTTP/1.1\r\nX-Call-Id: 0-forged-1\r\nContent-Length: 3\r\n\r\nabc",
-		"\r\n\r\n", "0\r\n\r\n", "HTTP/1.1 503 Busy\r\nRetry-After: 60\r\n\r\n"}
-	var b []byte
-	for range 1 + random.IntN(20) {
-		b = append(b, heads[random.IntN(len(heads))]...)
-	}
-	return b
+	return joinRandom(random, 20, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "POST /api HTTP/1.1\r\nX-Call-Id: 0-forged-1\r\nContent-Length: 3\r\n\r\nabc",
+		"\r\n\r\n", "0\r\n\r\n", "HTTP/1.1 503 Busy\r\nRetry-After: 60\r\n\r\n")
 }
 
 // jsonEnds returns ends and beginnings of JSON values.
 func jsonEnds(random *rand.Rand) []byte {
-	parts := []string{`"}]`, `[{"id":"0-forged-2","body":"`, "\n", "\\", `"`, "\x00", "\xff", `{"message":"0-forged-3","outcome":"given_up"}` + "\n"}
+	return joinRandom(random, 50, `"}]`, `[{"id":"0-forged-2","body":"`, "\n", "\\", `"`, "\x00", "\xff", `{"message":"0-forged-3","outcome":"given_up"}`+"\n")
+}
+
+// joinRandom returns 1 to most of the parts, each drawn at random.
+func joinRandom(random *rand.Rand, most int, parts ...string) []byte {
 	var b []byte
-	for range 1 + random.IntN(50) {
+	for range 1 + random.IntN(most) {
 		b = append(b, parts[random.IntN(len(parts))]...)
 	}
 	return b
--- a/lab/load/same_id.go
+++ b/lab/load/same_id.go
@@ -42,9 +42,12 @@
 // drawForeign returns the request that a bad client makes with the ID of a hand-in, or nil. request is that of the hand-in, and
 // body its body.
 func (g *Generator) drawForeign(h *record.HandIn, request *fasthttp.Request, body []byte, to Target) *foreignRequest {
-	random := rand.New(rand.NewPCG(g.World.Seed, xxhash.Sum64String("foreign "+h.ID)))
 	share := g.World.SameIDShare(g.Clock.Now(), h.Dispatcher)
-	if h.Dispatcher < 0 || random.Float64() >= share {
+	if share == 0 || h.Dispatcher < 0 {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(g.World.Seed, xxhash.Sum64String("foreign "+h.ID)))
+	if random.Float64() >= share {
 		return nil
 	}
 	other := *h
@@ -85,9 +88,9 @@
 	return other, key
 }
 
-// send sends the request on a connection of its own and records the answer. It is a no-op for nil.
+// send sends the request on a connection of its own and records the answer.
 func (f *foreignRequest) send(ctx context.Context, g *Generator) {
-	if f == nil || ctx.Err() != nil {
+	if ctx.Err() != nil {
 		return
 	}
 	f.handIn.SentAt = g.Clock.Now()
--- a/lab/planted/content.go
+++ b/lab/planted/content.go
@@ -36,20 +36,14 @@
 
 // store appends a message to storedFile.
 func (d *dispatcher) store(m *message) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	f, err := os.OpenFile(filepath.Join(d.stateFolder, storedFile), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return
-	}
-	_ = json.NewEncoder(f).Encode(storedMessage{m.id, m.topic, m.dest, m.body})
-	_ = f.Close()
+	line, _ := json.Marshal(storedMessage{m.id, m.topic, m.dest, m.body}) // plain values always marshal
+	d.appendLine(storedFile, line)
 }
 
 // findInContent returns the messages that a reader which searches content finds in storedFile: the second halves of bodies.
 func (d *dispatcher) findInContent() (found []*message) {
 	const maxFound, timeLeft = 20, 5 * time.Second
-	text, err := os.ReadFile(filepath.Join(d.stateFolder, storedFile))
+	text, err := os.ReadFile(filepath.Join(d.statePath, storedFile))
 	if err != nil {
 		return nil
 	}
--- a/lab/planted/planted.go
+++ b/lab/planted/planted.go
@@ -70,11 +70,10 @@
 	accepted   int
 	pushes     int
 
-	failedPath    string          // of failedFile
 	failedEarlier map[string]bool // by destination: a push of an earlier process failed there
 
-	stateFolder string
-	knownIDs    map[string]bool // when breaking GoByID
+	statePath string          // of the state folder
+	knownIDs  map[string]bool // when breaking GoByID
 
 	keptConns map[string]*keptConn // by endpoint address, when breaking ReuseConnections; each is used by one destination
 }
@@ -98,13 +97,13 @@
 		return err
 	}
 	d := &dispatcher{brokenRule: brokenRule, agentAddr: getenv("ROUTER_DISCOVERY"), onceOnly: map[string]bool{}, servers: map[string]platform.Server{},
-		queues: map[string]chan *message{}, waitUntil: map[string]time.Time{}, stateFolder: getenv("ROUTER_STATE"), knownIDs: map[string]bool{},
+		queues: map[string]chan *message{}, waitUntil: map[string]time.Time{}, statePath: getenv("ROUTER_STATE"), knownIDs: map[string]bool{},
 		keptConns: map[string]*keptConn{}, client: &http.Client{Timeout: answerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
 	for _, class := range config.Settings.Classes {
 		d.onceOnly[class.Name] = class.Repeat == "single_shot"
 	}
-	d.failedPath, d.failedEarlier = filepath.Join(getenv("ROUTER_STATE"), failedFile), map[string]bool{}
-	if failed, err := os.ReadFile(d.failedPath); err == nil {
+	d.failedEarlier = map[string]bool{}
+	if failed, err := os.ReadFile(filepath.Join(d.statePath, failedFile)); err == nil {
 		for dest := range strings.Lines(string(failed)) {
 			d.failedEarlier[strings.TrimSpace(dest)] = true
 		}
@@ -231,7 +230,7 @@
 			d.overload(m)
 		}
 		if d.brokenRule == ForgetOutage {
-			d.recordFailure(m.dest)
+			d.appendLine(failedFile, []byte(m.dest))
 		}
 		d.mu.Lock()
 		if d.waitUntil[m.dest] = time.Now().Add(max(retryAfter, minRetryWait)); d.brokenRule == rules.ToldWait {
@@ -254,15 +253,15 @@
 	}
 }
 
-// recordFailure appends a destination to failedFile.
-func (d *dispatcher) recordFailure(dest string) {
+// appendLine appends a line to a file in the state folder.
+func (d *dispatcher) appendLine(file string, line []byte) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	f, err := os.OpenFile(d.failedPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	f, err := os.OpenFile(filepath.Join(d.statePath, file), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return
 	}
-	_, _ = fmt.Fprintln(f, dest)
+	_, _ = f.Write(append(line, '\n'))
 	_ = f.Close()
 }
 
--- a/lab/record/record.go
+++ b/lab/record/record.go
@@ -16,24 +16,23 @@
 
 // HandIn is one try of a client to hand in a notification. Each try has its own ID.
 type HandIn struct {
-	ID            string  `json:"id"`
-	PlanIndex     int     `json:"origin"` // index of the notification in the load plan
-	Try           int     `json:"try"`    // number of the try, from 0; a try without a usable dispatcher counts but has no record
-	Topic         string  `json:"topic"`
-	Tenant        string  `json:"tenant"`
-	Dest          int     `json:"dest"`
-	Key           string  `json:"key,omitempty"`
-	Dispatcher    int     `json:"dispatcher"`
-	PlannedAt     float64 `json:"planned"` // when the plan schedules the notification
-	SentAt        float64 `json:"sent"`
-	ExpiresAt     float64 `json:"until"` // when the TTL of the notification ends
-	AnsweredAt    float64 `json:"answered,omitempty"`
-	Status        int     `json:"status,omitempty"` // HTTP status; 0 without an answer
-	RetryAfter    float64 `json:"retry_after,omitempty"`
-	FailureReason string  `json:"why,omitempty"` // why there is no answer: refused, closed, or late
-	// Content is the digest of what the client handed in. Foreign: a bad client used the ID of another client's hand-in.
-	Content content.Digest `json:"content,omitempty"`
-	Foreign bool           `json:"foreign,omitempty"`
+	ID            string         `json:"id"`
+	PlanIndex     int            `json:"origin"` // index of the notification in the load plan
+	Try           int            `json:"try"`    // number of the try, from 0; a try without a usable dispatcher counts but has no record
+	Topic         string         `json:"topic"`
+	Tenant        string         `json:"tenant"`
+	Dest          int            `json:"dest"`
+	Key           string         `json:"key,omitempty"`
+	Dispatcher    int            `json:"dispatcher"`
+	PlannedAt     float64        `json:"planned"` // when the plan schedules the notification
+	SentAt        float64        `json:"sent"`
+	ExpiresAt     float64        `json:"until"` // when the TTL of the notification ends
+	AnsweredAt    float64        `json:"answered,omitempty"`
+	Status        int            `json:"status,omitempty"` // HTTP status; 0 without an answer
+	RetryAfter    float64        `json:"retry_after,omitempty"`
+	FailureReason string         `json:"why,omitempty"`     // why there is no answer: refused, closed, or late
+	Content       content.Digest `json:"content,omitempty"` // digest of what the client handed in
+	Foreign       bool           `json:"foreign,omitempty"` // a bad client used the ID of another client's hand-in
 	// Unanswered lists the connections that the other side ended with no whole answer, although the request was written in full.
 	Unanswered []Attempt `json:"unanswered,omitempty"`
 }
@@ -83,12 +82,11 @@
 
 // Call is one call that reached an endpoint.
 type Call struct {
-	Endpoint string   `json:"endpoint"`
-	Dest     int      `json:"dest"`
-	ConnID   int      `json:"conn"`
-	Reused   bool     `json:"reused,omitempty"` // the connection had carried a call before
-	IDs      []string `json:"ids"`              // hand-ins that the call carries
-
+	Endpoint     string           `json:"endpoint"`
+	Dest         int              `json:"dest"`
+	ConnID       int              `json:"conn"`
+	Reused       bool             `json:"reused,omitempty"`   // the connection had carried a call before
+	IDs          []string         `json:"ids"`                // hand-ins that the call carries
 	Contents     []content.Digest `json:"contents,omitempty"` // digests of what came for each of IDs
 	FirstByteAt  float64          `json:"first"`              // when the first byte of the request arrived
 	LastByteAt   float64          `json:"last"`               // when the last byte of the request arrived
--- a/lab/rules/content.go
+++ b/lab/rules/content.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"orchiddrift/lab/record"
 )
@@ -11,12 +12,13 @@
 func (c *checker) checkContent() {
 	for _, call := range c.journal.Calls {
 		for i, id := range call.IDs {
-			sharing := c.sharedIDs[id]
-			if len(sharing) == 0 || c.handIns[call.Message(i)] != nil {
+			message, sharing := call.Message(i), c.handIns[id]
+			handedIn := func(h *record.HandIn) bool { return h.Message() == message }
+			if len(sharing) == 0 || slices.ContainsFunc(sharing, handedIn) {
 				continue
 			}
 			c.report(Violation{Rule: Content, At: call.LastByteAt, Dispatcher: sharing[0].Dispatcher, ID: id, Endpoint: call.Endpoint,
-				Evidence: fmt.Sprintf("body or idempotency key differ from what was handed in: digest %x, want %x", call.Message(i).Content, sharing[0].Content)})
+				Evidence: fmt.Sprintf("body or idempotency key differ from what was handed in: digest %x, want %x", message.Content, sharing[0].Content)})
 		}
 	}
 }
@@ -28,10 +30,8 @@
 	if !ok || h.Accepted() {
 		return notice, ok
 	}
-	for _, other := range c.sharedIDs[h.ID] {
-		if other.Accepted() {
-			return record.Notice{}, false
-		}
+	if slices.ContainsFunc(c.handIns[h.ID], (*record.HandIn).Accepted) {
+		return record.Notice{}, false
 	}
 	return notice, true
 }
--- a/lab/rules/rules.go
+++ b/lab/rules/rules.go
@@ -93,8 +93,7 @@
 	journal     *record.Journal
 	endedAt     float64 // when the run ended
 	topics      map[string]scenario.Topic
-	handIns     map[record.MessageKey]*record.HandIn
-	sharedIDs   map[string][]*record.HandIn  // by ID; more than one if a bad client used the ID of another client's hand-in
+	handIns     map[string][]*record.HandIn  // by ID; more than one, to one dispatcher, if a bad client used the ID of another client's hand-in
 	pushes      map[record.MessageKey][]push // by notification, in the order of their last bytes
 	notices     map[string]record.Notice
 	violations  []Violation
@@ -118,14 +117,13 @@
 
 // CheckAll is Check, and also returns what is allowed but worth a report.
 func CheckAll(world *scenario.World, journal *record.Journal, end float64) Verdict {
-	c := &checker{world: world, journal: journal, endedAt: end, topics: map[string]scenario.Topic{}, handIns: map[record.MessageKey]*record.HandIn{},
-		sharedIDs: map[string][]*record.HandIn{}, pushes: map[record.MessageKey][]push{}, notices: map[string]record.Notice{}, excuses: map[string]int{}, outagesSeen: map[outageKey]bool{}}
+	c := &checker{world: world, journal: journal, endedAt: end, topics: map[string]scenario.Topic{}, handIns: map[string][]*record.HandIn{},
+		pushes: map[record.MessageKey][]push{}, notices: map[string]record.Notice{}, excuses: map[string]int{}, outagesSeen: map[outageKey]bool{}}
 	for _, t := range world.Topics {
 		c.topics[t.Name] = t
 	}
 	for _, h := range journal.HandIns {
-		c.handIns[h.Message()] = h
-		c.sharedIDs[h.ID] = append(c.sharedIDs[h.ID], h)
+		c.handIns[h.ID] = append(c.handIns[h.ID], h)
 	}
 	slices.SortStableFunc(journal.Calls, func(a, b *record.Call) int { return cmp.Compare(a.LastByteAt, b.LastByteAt) })
 	for _, call := range journal.Calls {
@@ -352,11 +350,8 @@
 
 // dispatcherOf returns the dispatcher that sent a call, or -1 if no client handed in any of its notifications.
 func (c *checker) dispatcherOf(call *record.Call) int {
-	for i, id := range call.IDs {
-		if h := c.handIns[call.Message(i)]; h != nil {
-			return h.Dispatcher
-		}
-		if sharing := c.sharedIDs[id]; len(sharing) > 0 {
+	for _, id := range call.IDs {
+		if sharing := c.handIns[id]; len(sharing) > 0 {
 			return sharing[0].Dispatcher
 		}
 	}
@@ -375,7 +370,7 @@
 	for _, call := range c.journal.Calls {
 		dispatcher := c.dispatcherOf(call)
 		for _, id := range call.IDs {
-			if sharing := c.sharedIDs[id]; len(sharing) == 0 || sharing[0].Dest != call.Dest {
+			if sharing := c.handIns[id]; len(sharing) == 0 || sharing[0].Dest != call.Dest {
 				c.report(Violation{Rule: Draining, At: call.FirstByteAt, Dispatcher: dispatcher, ID: id, Endpoint: call.Endpoint,
 					Evidence: "endpoint of another destination, or a notification that no client handed in"})
 			}
--- a/lab/same_id_test.go
+++ b/lab/same_id_test.go
@@ -6,6 +6,7 @@
 
 	"orchiddrift/lab"
 	"orchiddrift/lab/planted"
+	"orchiddrift/lab/rules"
 )
 
 // Guards against a message that is answered as accepted and never sent because a bad client uses its ID, and against rules that do
@@ -53,7 +54,7 @@
 			}
 			found := false
 			for _, v := range r.Violations {
-				found = found || v.Rule == "content"
+				found = found || v.Rule == rules.Content
 			}
 			if got := brokenRules(r); found != wantBroken || !wantBroken && got != "" {
 				t.Errorf("broken rules are %q; first violations: %v", got, r.Violations[:min(3, len(r.Violations))])
--- a/lab/scenario/world.go
+++ b/lab/scenario/world.go
@@ -344,17 +344,25 @@
 // SameIDShare returns the share of the hand-ins to a dispatcher whose IDs bad clients use at a time, in seconds.
 func (w *World) SameIDShare(now float64, dispatcher int) float64 {
 	share := 0.0
-	for _, t := range w.Troubles {
-		if t.Kind == SameID && now >= t.At && now < t.End() && t.AppliesToDispatcher(dispatcher) {
-			share = max(share, t.Share)
-			if t.Share == 0 { // all
-				share = 1
-			}
+	for _, t := range w.ActiveTroubles(dispatcher, now, SameID) {
+		if t.Share == 0 { // all
+			return 1
 		}
+		share = max(share, t.Share)
 	}
 	return share
 }
 
+// ActiveTroubles returns the troubles of some kinds that act on a dispatcher or its agent at the time now, in the scenario's order.
+func (w *World) ActiveTroubles(dispatcher int, now float64, kinds ...string) (active []Trouble) {
+	for _, t := range w.Troubles {
+		if slices.Contains(kinds, t.Kind) && now >= t.At && now < t.End() && t.AppliesToDispatcher(dispatcher) {
+			active = append(active, t)
+		}
+	}
+	return active
+}
+
 // AppliesToDispatcher reports whether a trouble of dispatchers affects the given one.
 func (t Trouble) AppliesToDispatcher(dispatcher int) bool {
 	return len(t.Dispatchers) == 0 || slices.Contains(t.Dispatchers, dispatcher)
