--- /dev/null
+++ b/lab/crowd_test.go
@@ -0,0 +1,204 @@
+package lab_test
+
+import (
+	"context"
+	"math"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+
+	"orchiddrift/lab"
+	"orchiddrift/lab/fleet"
+	"orchiddrift/lab/record"
+	"orchiddrift/lab/report"
+	"orchiddrift/lab/scenario"
+)
+
+// servedProgram is the package of the program that is deployed: the test binary holds the laboratory too, and is larger at rest.
+const servedProgram = "orchiddrift/cmd/orchiddrift"
+
+// served returns the command that starts the deployed program, which it builds once.
+var served = sync.OnceValues(func() (fleet.Command, error) {
+	dir, err := filepath.Abs(buildDir)
+	if err != nil {
+		return fleet.Command{}, err
+	}
+	path := filepath.Join(dir, "served")
+	build := exec.Command("go", "build", "-o", path, servedProgram)
+	if out, err := build.CombinedOutput(); err != nil {
+		return fleet.Command{}, &exec.Error{Name: string(out), Err: err}
+	}
+	return fleet.Command{Path: path, Args: []string{"run"}}, nil
+})
+
+// goodClients are the figures of the usual clients of a run, whose hand-ins reached a dispatcher.
+type goodClients struct {
+	handIns, unanswered, refused int
+	p99                          float64 // seconds from sending a request to its answer
+}
+
+// goodClientsOf returns the figures of the usual clients. Hand-ins that a kill or a stop left without an answer do not count.
+func goodClientsOf(j *record.Journal) goodClients {
+	var g goodClients
+	var latencies []float64
+	for _, h := range j.HandIns {
+		if h.Foreign || h.Dispatcher < 0 {
+			continue
+		}
+		g.handIns++
+		switch {
+		case h.Status == 0:
+			g.unanswered++
+			latencies = append(latencies, math.Inf(1))
+			continue
+		case h.Refused():
+			g.refused++
+		}
+		latencies = append(latencies, h.AnsweredAt-h.SentAt)
+	}
+	slices.Sort(latencies)
+	if len(latencies) > 0 {
+		g.p99 = latencies[len(latencies)*99/100]
+	}
+	return g
+}
+
+// clientPatience is how long a client waits for its answer, in seconds.
+const clientPatience = 0.4
+
+// inFlightGrace is how long a call may take to reach its endpoint, in seconds.
+const inFlightGrace = 0.1
+
+// crowdScenario returns a scenario of one dispatcher with the given limits and troubles.
+func crowdScenario(memoryMB float64, sockets int, troubles ...scenario.Trouble) *scenario.Scenario {
+	s := open("calm")
+	s.Length = 5
+	s.Dispatchers.Count, s.Dispatchers.MemoryMB, s.Dispatchers.Sockets, s.Dispatchers.DiskMB = 1, memoryMB, sockets, 3
+	s.Load.Rate = 40
+	s.Troubles = troubles
+	return s
+}
+
+// playCrowd plays a scenario against the deployed program.
+func playCrowd(t *testing.T, s *scenario.Scenario) (*report.Result, *record.Journal) {
+	t.Helper()
+	command, err := served()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, j, err := lab.Run(context.Background(), s, lab.Options{Command: command})
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := goodClientsOf(j)
+	t.Logf("peak %.1f MB, at rest %.1f MB, %.0f descriptors, good clients: %+v", float64(r.Dispatchers[0].PeakBytes)/1e6,
+		float64(r.Dispatchers[0].IdleBytes)/1e6, float64(r.Dispatchers[0].PeakDescriptors), good)
+	return r, j
+}
+
+// crowd returns a trouble with a third of the descriptors of a dispatcher as clients, throughout a run.
+func crowd(kind string, clients int) scenario.Trouble {
+	return scenario.Trouble{Kind: kind, At: 0.5, Duration: 4, Count: clients}
+}
+
+// Guards against a process that passes its memory limit, or neglects its clients, because a crowd writes slowly, stops half way
+// through large requests, or sends heads of very many short fields.
+func TestMemoryLimitInCrowds(t *testing.T) {
+	for name, test := range map[string]struct {
+		memoryMB float64
+		sockets  int
+		troubles []scenario.Trouble
+	}{
+		"slow writers":     {32, 1024, []scenario.Trouble{crowd(scenario.SlowWriters, 341)}},
+		"half requests":    {32, 1024, []scenario.Trouble{crowd(scenario.HalfRequests, 341)}},
+		"many fields":      {32, 1024, []scenario.Trouble{crowd(scenario.ManyFields, 341)}},
+		"whole large":      {32, 1024, []scenario.Trouble{crowd(scenario.WholeLarge, 341)}},
+		"all, few sockets": {32, 256, allCrowds(21)},
+		"all":              {64, 512, allCrowds(42)},
+		"all, killed": {32, 1024, append(allCrowds(85), scenario.Trouble{Kind: scenario.Kill, At: 2, Wait: 0.6},
+			scenario.Trouble{Kind: scenario.Kill, At: 2.9, Wait: 1})},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, j := playCrowd(t, crowdScenario(test.memoryMB, test.sockets, test.troubles...))
+			if broken := brokenRules(r); broken != "" {
+				t.Errorf("broken rules are %q; first violations: %v", broken, r.Violations[:min(3, len(r.Violations))])
+			}
+			if r.NeglectedClients > 0 {
+				t.Errorf("%d connections of the crowd got neither an answer nor their end in time", r.NeglectedClients)
+			}
+			killed := slices.ContainsFunc(test.troubles, func(t scenario.Trouble) bool { return t.Kind == scenario.Kill })
+			if good := goodClientsOf(j); !killed && (good.p99 > clientPatience || good.unanswered > 0) {
+				t.Errorf("good clients are answered late or not: %+v", good)
+			}
+		})
+	}
+}
+
+// allCrowds returns crowds of all kinds that hold memory, each with a number of clients.
+func allCrowds(clients int) []scenario.Trouble {
+	return []scenario.Trouble{crowd(scenario.SlowWriters, clients), crowd(scenario.HalfRequests, clients), crowd(scenario.ManyFields, clients),
+		crowd(scenario.WholeLarge, clients)}
+}
+
+// Guards against a client that sends at full speed on one connection and by that sets how long other clients wait, or how much memory
+// the process uses.
+func TestGoodClientsBesideFlood(t *testing.T) {
+	for _, traffic := range scenario.FloodTraffic {
+		t.Run(traffic, func(t *testing.T) {
+			s := crowdScenario(32, 1024, scenario.Trouble{Kind: scenario.Flood, At: 0.5, Duration: 4, Traffic: traffic})
+			s.Tenants = append(s.Tenants, s.Tenants[0])
+			s.Tenants[0].Name, s.Tenants[0].Share, s.Tenants[0].QuotaRate = "flood", 1e-9, 20
+			r, j := playCrowd(t, s)
+			if broken := brokenRules(r); broken != "" {
+				t.Errorf("broken rules are %q; first violations: %v", broken, r.Violations[:min(3, len(r.Violations))])
+			}
+			if good := goodClientsOf(j); good.p99 > clientPatience || good.unanswered > 0 || good.refused > good.handIns/10 {
+				t.Errorf("good clients are answered late, refused or not answered: %+v", good)
+			}
+		})
+	}
+}
+
+// Guards against requests that are sent on after their client has left: it wrote many, read no answer and closed its connection.
+func TestNothingSentForClientsThatLeft(t *testing.T) {
+	s := crowdScenario(64, 512, scenario.Trouble{Kind: scenario.LeaveUnread, At: 0.5, Duration: 4, Count: 10})
+	s.Dispatchers.MaxHeld, s.Dispatchers.MaxCalls = 4000, 200 // so that nothing that was taken on has to wait
+	s.Kinds, s.Groups = slices.Clone(s.Kinds), slices.Clone(s.Groups)
+	for i := range s.Kinds {
+		s.Kinds[i].LimitKind, s.Kinds[i].MaxConnections = scenario.NoLimit, 0
+	}
+	for i := range s.Groups {
+		s.Groups[i].CapacityFactor = 100
+	}
+	r, j := playCrowd(t, s)
+	if broken := brokenRules(r); broken != "" {
+		t.Errorf("broken rules are %q; first violations: %v", broken, r.Violations[:min(3, len(r.Violations))])
+	}
+	firstPush := map[string]float64{}
+	for _, call := range j.Calls {
+		for _, id := range call.IDs {
+			if at, ok := firstPush[id]; !ok || call.FirstByteAt < at {
+				firstPush[id] = call.FirstByteAt
+			}
+		}
+	}
+	answered := map[string]bool{} // handed in again, and answered
+	for _, h := range j.HandIns {
+		answered[h.ID] = answered[h.ID] || h.Status != 0
+	}
+	left, late := 0, 0
+	for _, h := range j.HandIns {
+		if h.LeftAt == 0 || answered[h.ID] {
+			continue
+		}
+		left++
+		if at, ok := firstPush[h.ID]; ok && at > h.LeftAt+inFlightGrace {
+			late++
+		}
+	}
+	if left < 500 || late > 0 {
+		t.Errorf("of %d requests whose client had left, %d were first sent more than %.1f s later", left, late, inFlightGrace)
+	}
+}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -34,7 +34,7 @@
 // Usage is the resource usage of a dispatcher, over all its processes.
 type Usage struct {
 	CPUSeconds      float64 `json:"cpu_s"`       // CPU time in seconds, without the start of each process
-	PeakBytes       int     `json:"peak_bytes"`  // largest resident memory
+	PeakBytes       int     `json:"peak_bytes"`  // largest resident memory, as the system keeps it for each process
 	IdleBytes       int     `json:"rest_bytes"`  // PeakBytes when last ready; memory without load only if never restarted
 	PeakDescriptors int     `json:"descriptors"` // most open file descriptors
 	PeakDiskBytes   int     `json:"disk_bytes"`  // largest size of its state directory, in whole blocks
@@ -407,7 +407,9 @@
 	if proc, err := procfs.NewProc(p.cmd.Process.Pid); err == nil {
 		if stat, err := proc.Stat(); err == nil {
 			p.cpuSeconds = stat.CPUTime()
-			u.PeakBytes = max(u.PeakBytes, stat.ResidentMemory())
+		}
+		if status, err := proc.NewStatus(); err == nil {
+			u.PeakBytes = max(u.PeakBytes, int(status.VmHWM))
 		}
 		if n, err := proc.FileDescriptorsLen(); err == nil {
 			u.PeakDescriptors = max(u.PeakDescriptors, n)
--- a/lab/lab.go
+++ b/lab/lab.go
@@ -14,6 +14,7 @@
 
 	"orchiddrift/lab/agent"
 	"orchiddrift/lab/content"
+	"orchiddrift/lab/crowd"
 	"orchiddrift/lab/fleet"
 	"orchiddrift/lab/load"
 	"orchiddrift/lab/loop"
@@ -125,6 +126,10 @@
 			return nil, nil, err
 		}
 	}
+	crowds := &crowd.Crowd{World: world, Journal: journal, Clock: clock, Addr: network.DispatcherAddr}
+	if dispatchers != nil {
+		crowds.Start(runCtx)
+	}
 	loadDone := make(chan struct{})
 	go func() {
 		clients.Run(runCtx)
@@ -137,6 +142,7 @@
 	}
 	endRun()
 	<-loadDone
+	neglected := crowds.Wait()
 	var usage []fleet.Usage
 	if dispatchers != nil {
 		usage = dispatchers.Usage()
@@ -152,6 +158,7 @@
 			result.Violations, result.ExcusedEnds, result.Recoveries = verdict.Violations, verdict.ExcusedEnds, verdict.Recoveries
 		}
 	})
+	result.NeglectedClients = neglected
 	result.Direct, result.Interrupted = options.Direct, ctx.Err() != nil
 	if lateness := result.Lateness.P99; s.Load.ClosedLoop == 0 && lateness > s.Load.MaxLateness {
 		result.VoidReason = fmt.Sprintf("load generator was late by %.0f ms at p99, more than the %.0f ms allowed: lower load.rate or free CPU cores",
--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -36,7 +36,11 @@
 	case "planted":
 		err = planted.Run(os.Getenv, rule)
 	default:
-		os.Exit(m.Run())
+		if buildDir, err = os.MkdirTemp("", "orchiddrift-lab-test-"); err == nil {
+			code := m.Run()
+			_ = os.RemoveAll(buildDir)
+			os.Exit(code)
+		}
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -44,6 +48,9 @@
 	}
 }
 
+// buildDir is a folder for programs that tests build.
+var buildDir string
+
 // command returns the command that runs the test binary in a role of TestMain.
 func command(role string) fleet.Command {
 	return fleet.Command{Path: os.Args[0], Env: []string{"ORCHIDDRIFT_TEST=" + role}}
--- a/lab/record/record.go
+++ b/lab/record/record.go
@@ -32,7 +32,8 @@
 	RetryAfter    float64        `json:"retry_after,omitempty"`
 	FailureReason string         `json:"why,omitempty"`     // why there is no answer: refused, closed, or late
 	Content       content.Digest `json:"content,omitempty"` // digest of what the client handed in
-	Foreign       bool           `json:"foreign,omitempty"` // a bad client used the ID of another client's hand-in
+	Foreign       bool           `json:"foreign,omitempty"` // of a bad client; it may have the ID of another client's hand-in
+	LeftAt        float64        `json:"left,omitempty"`    // when its client left with no answer; 0: it did not
 	// Unanswered lists the connections that the other side ended with no whole answer, although the request was written in full.
 	Unanswered []Attempt `json:"unanswered,omitempty"`
 }
--- a/lab/report/result.go
+++ b/lab/report/result.go
@@ -37,9 +37,12 @@
 	Series      Series            `json:"series"`
 	Bands       []Band            `json:"troubles"`
 	Violations  []rules.Violation `json:"violations"`
-	Recoveries  []rules.Recovery  `json:"recoveries,omitempty"`   // one for each return of a destination from an outage
-	Overloads   []string          `json:"overloads,omitempty"`    // timelines of the overloads in Violations
-	ExcusedEnds map[string]int    `json:"excused_ends,omitempty"` // connections that ended unanswered for a reason that is allowed
+	Recoveries  []rules.Recovery  `json:"recoveries,omitempty"` // one for each return of a destination from an outage
+	Overloads   []string          `json:"overloads,omitempty"`  // timelines of the overloads in Violations
+	// NeglectedClients is the number of connections of crowds that got neither an answer nor their end in time.
+	NeglectedClients int `json:"neglected_clients,omitempty"`
+
+	ExcusedEnds map[string]int `json:"excused_ends,omitempty"` // connections that ended unanswered for a reason that is allowed
 }
 
 // Totals are the counts of a run.
--- a/lab/scenario/check.go
+++ b/lab/scenario/check.go
@@ -7,7 +7,8 @@
 
 // troubleKinds lists all kinds of trouble. Those that affect partners come first, up to Drain.
 var troubleKinds = []string{RefuseConnections, Hang, FailCalls, SlowAnswers, LoseAnswers, ResetConnections, BreakReused, LateAnswers,
-	TruncateAnswers, CorruptAnswers, CloseAfterAnswer, CopyAnswers, StrayAnswers, RejectAll, ChangeLimit, Drain, Kill, Restart, Stall, ListDown, ListSlow, AgentCopies, AgentStrays, AgentLost, SignalSeries, MoveAgent, SameID, Surge, HotClient, BusyDisk}
+	TruncateAnswers, CorruptAnswers, CloseAfterAnswer, CopyAnswers, StrayAnswers, RejectAll, ChangeLimit, Drain, Kill, Restart, Stall, ListDown, ListSlow, AgentCopies, AgentStrays, AgentLost, SignalSeries, MoveAgent, SameID, Surge, HotClient, BusyDisk,
+	SlowWriters, HalfRequests, ManyFields, WholeLarge, Flood, LeaveUnread}
 
 // AffectsPartners reports whether the trouble affects the endpoints of destinations.
 func (t Trouble) AffectsPartners() bool {
@@ -162,6 +163,9 @@
 		checkRange(prefix+"times", float64(t.SignalCount), 0, 100)
 		checkRange(prefix+"lag", t.MinLag, 0, 60)
 		checkRange(prefix+"max_lag", t.MaxLag, t.MinLag, 60)
+		if t.Traffic != "" {
+			checkWord(prefix+"sends", t.Traffic, FloodTraffic...)
+		}
 		checkRange(prefix+"copies", float64(t.Copies), 0, 100)
 		if t.AffectsPartners() {
 			if len(t.Destinations) == 0 {
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -180,15 +180,38 @@
 	Surge             = "surge"       // the load is multiplied by the factor
 	HotClient         = "hot"         // one client process sends additional load, the factor times the rate
 	BusyDisk          = "busy-disk"   // another process writes to the disk of the dispatchers' state directories
+
+	// Crowds of bad clients at dispatchers, as many as count says.
+
+	SlowWriters  = "slow-writers"  // they write large requests a little at a time
+	HalfRequests = "half-requests" // they stop half way through a large request and stay
+	ManyFields   = "many-fields"   // they stop within a request with a head of very many short fields, or behind it
+	WholeLarge   = "whole-large"   // they send large requests with such heads, one after another
+	Flood        = "flood"         // they send small requests at full speed, of the kind that sends names
+	LeaveUnread  = "leave-unread"  // they write many requests at once, read no answer and leave
+)
+
+// What a flood sends.
+const (
+	FloodPages        = "pages"        // requests for pages that do not exist
+	FloodTopics       = "topics"       // messages of ever new topic types, which do not exist
+	FloodDestinations = "destinations" // messages for ever new destinations, which do not exist
+	FloodTenants      = "tenants"      // valid messages of ever new tenants
+	FloodNames        = "names"        // valid messages with long IDs, keys and tenants
+	FloodBodies       = "bodies"       // valid messages with bodies of some KB
+	FloodMessages     = "messages"     // valid messages without bodies
 )
 
+// FloodTraffic lists what a flood can send. One that names nothing sends all of it.
+var FloodTraffic = []string{FloodPages, FloodTopics, FloodDestinations, FloodTenants, FloodNames, FloodBodies, FloodMessages}
+
 // Trouble is one planned disturbance of a run: a fault of partners, dispatchers, agents or disks, or a change of the load.
 type Trouble struct {
 	Kind         string  `toml:"kind"`
 	At           float64 `toml:"at"`
 	Duration     float64 `toml:"for"`
 	Pick         string  `toml:"pick"`         // how destinations are chosen: largest, smallest, random or all
-	Count        int     `toml:"count"`        // how many destinations are chosen
+	Count        int     `toml:"count"`        // how many destinations are chosen; of a crowd: how many clients, for each dispatcher
 	Destinations []int   `toml:"destinations"` // the destinations by number, from 0; empty: chosen by Pick and Count
 	Endpoint     int     `toml:"endpoint"`     // number of the only affected endpoint of each destination, from 1; 0: all
 	Dispatchers  []int   `toml:"dispatchers"`  // the dispatchers by number, from 0; empty: all
@@ -201,12 +224,22 @@
 	SignalCount  int     `toml:"times"`   // series: number of signals within its duration
 	MinLag       float64 `toml:"lag"`     // copy, stray, agent-copy, agent-stray: shortest time from the answer to what follows it
 	MaxLag       float64 `toml:"max_lag"` // longest such time; not below lag
+	Traffic      string  `toml:"sends"`   // flood: one of FloodTraffic; empty: all of them
 	Copies       int     `toml:"copies"`  // copy, stray, agent-copy, agent-stray: how many follow an answer
 }
 
 // End returns when the trouble ends.
 func (t Trouble) End() float64 { return t.At + t.Duration }
 
+// IsCrowd reports whether the trouble is a crowd of bad clients.
+func (t Trouble) IsCrowd() bool {
+	switch t.Kind {
+	case SlowWriters, HalfRequests, ManyFields, WholeLarge, Flood, LeaveUnread:
+		return true
+	}
+	return false
+}
+
 // CausesOutage reports whether the trouble is an outage of its destinations, which go through slow start after it.
 func (t Trouble) CausesOutage() bool {
 	switch t.Kind {
