--- a/lab/crowd_test.go
+++ b/lab/crowd_test.go
@@ -17,7 +17,7 @@
 )
 
 // servedProgram is the package of the program that is deployed: the test binary holds the laboratory too, and is larger at rest.
-const servedProgram = "orchiddrift/cmd/orchiddrift"
+const servedProgram = "orchiddrift/cmd/orchiddriftd"
 
 // served returns the command that starts the deployed program, which it builds once.
 var served = sync.OnceValues(func() (fleet.Command, error) {
@@ -30,7 +30,7 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		return fleet.Command{}, &exec.Error{Name: string(out), Err: err}
 	}
-	return fleet.Command{Path: path, Args: []string{"run"}}, nil
+	return fleet.Command{Path: path}, nil
 })
 
 // goodClients are the figures of the usual clients of a run, whose hand-ins reached a dispatcher.
@@ -71,6 +71,9 @@
 // inFlightGrace is how long a call may take to reach its endpoint, in seconds.
 const inFlightGrace = 0.1
 
+// maxBytesAtRest is the most memory that the deployed program may use before it has clients.
+const maxBytesAtRest = 12_000_000
+
 // crowdScenario returns a scenario of one dispatcher with the given limits and troubles.
 func crowdScenario(memoryMB float64, sockets int, troubles ...scenario.Trouble) *scenario.Scenario {
 	s := open("calm")
@@ -129,6 +132,9 @@
 				t.Errorf("%d connections of the crowd got neither an answer nor their end in time", r.NeglectedClients)
 			}
 			killed := slices.ContainsFunc(test.troubles, func(t scenario.Trouble) bool { return t.Kind == scenario.Kill })
+			if atRest := r.Dispatchers[0].IdleBytes; atRest > maxBytesAtRest && !killed {
+				t.Errorf("%d bytes at rest", atRest)
+			}
 			if good := goodClientsOf(j); !killed && (good.p99 > clientPatience || good.unanswered > 0) {
 				t.Errorf("good clients are answered late or not: %+v", good)
 			}
