Mend: notifications that are turned away leave no state in the decision module

Cause: overQuota kept a list of arrivals for each tenant name ever sent, and Place made a destination before it was known to be listed. No decision changes: a tenant without a quota was never over it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -93,11 +93,11 @@
 	if ntf.ID == "" {
 		return s.maintain(now)
 	}
-	dest := s.destination(ntf.Dest)
 	h, known := s.held[ntf.ID]
 	if !known {
-		return s.admit(now, dest, ntf)
+		return s.admit(now, ntf)
 	}
+	dest := s.destination(ntf.Dest)
 	if h.finished || h.call != nil {
 		return Decision{}
 	}
@@ -124,8 +124,12 @@
 }
 
 // admit takes a new notification into the queue of its destination, or throttles it if there is no room. One that was restored is
-// always taken.
-func (s *Scheduler) admit(now float64, dest *destination, ntf Notification) Decision {
+// always taken. A notification that is throttled leaves no state: clients can make up any number of destinations.
+func (s *Scheduler) admit(now float64, ntf Notification) Decision {
+	dest := s.destinations[ntf.Dest]
+	if dest == nil {
+		dest = &destination{id: ntf.Dest}
+	}
 	h := &heldNotification{Notification: ntf, topic: s.topics[ntf.Topic], expiresAt: now + ntf.TimeLeft, mayHaveRunAt: never}
 	isFirstTry := ntf.TimeLeft > h.topic.TTL-firstTryMargin && !ntf.Restored
 	h.pushes, h.overQuota = ntf.Pushes, isFirstTry && s.overQuota(now, ntf.Tenant)
@@ -136,6 +140,7 @@
 		!queuesBehindKey && len(dest.queue) >= s.queueBound(h) && !s.displace(now, dest, h)) {
 		return Decision{Action: Throttle, NotificationID: h.ID, RetryIn: s.retryIn(now, dest)}
 	}
+	s.destinations[dest.id] = dest
 	if ntf.Restored {
 		s.applyHistory(now, dest, h)
 	}
@@ -647,13 +652,17 @@
 
 // overQuota records an arrival for a tenant and reports whether the tenant is over this dispatcher's share of its quota.
 // Notifications over quota earn little benefit, so that a burst of one tenant does not displace the notifications of others.
-// Place calls it for first tries only: retries, recognised by the time they have left, are not counted again.
+// Place calls it for first tries only: retries, recognised by the time they have left, are not counted again. A tenant without a
+// quota is never over it, and its arrivals are not recorded: clients can make up any number of tenants.
 func (s *Scheduler) overQuota(now float64, tenant string) bool {
 	allowed := quotaSpan * s.evenShare(s.quotas.Rate[tenant])
+	if allowed <= 0 {
+		return false
+	}
 	allowed += 2 * math.Sqrt(allowed) // margin for random variation
 	arrivals := appendLast(s.tenantArrivals[tenant], now, maxPushSamples)
 	s.tenantArrivals[tenant] = arrivals
-	return allowed > 0 && len(arrivals) > int(allowed) && arrivals[len(arrivals)-1-int(allowed)] > now-quotaSpan
+	return len(arrivals) > int(allowed) && arrivals[len(arrivals)-1-int(allowed)] > now-quotaSpan
 }
 
 // retryIn returns the seconds after which a client is advised to submit a notification again: until the first endpoint may
