Mend: one client's rate does not set how long others wait

Operators saw: while one client sent small or unsound requests on one connection at full speed, others were answered late or never. Cause: a message was taken on whoever handed it in as long as there was any room, so a flood had all of it: notices for what was displaced queued up at the agent by thousands, answers of endpoints were read late and their messages pushed again. A connection that was refused went on at once. Mend: where half of the room for messages (count, bytes, IDs) is used, a connection may hold its share of three quarters of it, divided by the connections that were active in the last second, and at least 4 messages and 16 KB; what is over is refused before it reaches the gateway. From the ninth refusal in a row on, a connection pauses for 1 to 20 ms. TestNothingSentForClientsThatLeft passed by speed alone and asks more now: what is written and left while the process stands still is never sent; what was taken on just before may be.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -94,6 +94,57 @@
 	return NewRoom(d, NewBudget(d, nil))
 }
 
+// Guards against one client that takes all room for messages, so that others find none, and against one that gets little although it is
+// alone.
+func TestFloodLeavesRoomToOthers(t *testing.T) {
+	fill := func(r *Room, c *Client) (taken int) {
+		for range 200 {
+			if _, refusal := r.Take(1, c, 10); refusal == Granted {
+				taken++
+			}
+		}
+		return taken
+	}
+	if taken := fill(newTestRoom(100), &Client{}); taken != 75 {
+		t.Errorf("a client alone gets %d of 100, want 75", taken)
+	}
+	room, flood, others := newTestRoom(100), &Client{}, []*Client{{}, {}, {}}
+	for _, c := range others {
+		if _, refusal := room.Take(1, c, 10); refusal != Granted {
+			t.Fatal(refusal)
+		}
+	}
+	if taken := fill(room, flood); taken < 25 || taken > 50 {
+		t.Errorf("a flood beside three others gets %d of 100", taken)
+	}
+	for i, c := range others {
+		for range 10 {
+			if _, refusal := room.Take(1, c, 10); refusal != Granted {
+				t.Errorf("client %d: %s", i, refusal)
+			}
+		}
+	}
+}
+
+// Guards against large messages of many clients that leave no room for small ones.
+func TestLargeMessagesLeaveRoomToSmallOnes(t *testing.T) {
+	room := newTestRoom(1000)
+	large := 0
+	for range 300 {
+		if _, refusal := room.Take(1, &Client{}, 64_000); refusal == Granted {
+			large++
+		}
+	}
+	if large == 0 || large > 12 {
+		t.Errorf("%d large messages in an account of 1 MB", large)
+	}
+	for i := range 100 { // 180 KB
+		if _, refusal := room.Take(1, &Client{}, 300); refusal != Granted {
+			t.Fatalf("small message %d: %s", i, refusal)
+		}
+	}
+}
+
 // Guards against room that is not given back: by a final answer, by an ID that is not recognized any more, and by a message of an earlier
 // process, which always fits.
 func TestRoomIsGivenBack(t *testing.T) {
@@ -122,7 +173,7 @@
 			t.Errorf("%+v", usage)
 		}
 	}
-	if *client != (Client{}) || room.messages != 0 || room.identifiers != 0 {
+	if *client != (Client{epoch: client.epoch}) || room.messages != 0 || room.identifiers != 0 {
 		t.Errorf("%+v, %d messages", client, room.messages)
 	}
 }
--- a/intake/client.go
+++ b/intake/client.go
@@ -55,6 +55,7 @@
 	answered             answeredRequests // only the goroutine that serves the connection uses it, and the next four fields
 	ahead                readAhead
 	account              *admission.Client // its share of the room for messages
+	refusals             int               // requests that were refused in a row
 	untoldSince          time.Time         // since when shutting down the write side of an idle connection has failed; zero: it has not
 	queuedFor            time.Duration     // how long the connection may have waited to be accepted while accepts failed
 }
@@ -206,3 +207,21 @@
 	defer c.listener.lock.Unlock()
 	c.pipelined = pipelined
 }
+
+const (
+	// freeRefusals is how many requests of a connection are refused in a row without a pause.
+	freeRefusals = 8
+	// refusalPause is the pause after the next refusal, and what each further one adds to it, up to maxRefusalPause.
+	refusalPause    = time.Millisecond
+	maxRefusalPause = 20 * time.Millisecond
+)
+
+// pauseAfterRefusals pauses if requests of the connection were refused again and again: its client would go on at once, and what that
+// costs is taken from the others.
+func (c *clientConn) pauseAfterRefusals(m *metricSet) {
+	if c.refusals <= freeRefusals {
+		return
+	}
+	m.paused()
+	time.Sleep(min(time.Duration(c.refusals-freeRefusals)*refusalPause, maxRefusalPause))
+}
--- a/intake/serve.go
+++ b/intake/serve.go
@@ -19,6 +19,7 @@
 // serveConn serves the requests of a connection until it ends.
 func (s *Server) serveConn(c *clientConn) {
 	for s.serveRequest(c) {
+		c.pauseAfterRefusals(s.metrics)
 	}
 	c.ahead.release()
 	_ = c.Close()
@@ -144,6 +145,7 @@
 func (r *request) refuse(reason refusalReason, resp response) (again bool) {
 	c := r.conn
 	r.server.metrics.refused(reason)
+	c.refusals++
 	if !r.head.hasBody() {
 		return r.answer("", resp)
 	}
@@ -208,6 +210,7 @@
 	}
 	if err != nil {
 		s.logBadRequest(c, m.ID, err)
+		c.refusals++
 		s.metrics.refused(refusedInvalid)
 		return r.answer(m.ID, response{status: fasthttp.StatusBadRequest, text: err.Error()})
 	}
@@ -255,6 +258,7 @@
 	hold, refusal := s.room.Take(now, c.account, m.Size())
 	if refusal != admission.Granted {
 		s.metrics.refused(refusalReason(refusal))
+		c.refusals++
 		return r.respond(response{status: fasthttp.StatusServiceUnavailable, retryAfter: refusalWait}, closeAfter)
 	}
 	b.release() // it is part of the message from now on
@@ -267,8 +271,10 @@
 	s.debugLog.Debug().Str("ntf", m.ID).Stringer("client", c.RemoteAddr()).Bool("taken", answer.Accepted).Str("why", string(answer.Reason)).
 		Float64("after", time.Since(r.startedAt).Seconds()).Msg("request answered")
 	if answer.Accepted {
+		c.refusals = 0
 		return r.respond(response{status: fasthttp.StatusAccepted}, closeAfter)
 	}
+	c.refusals++
 	if answer.Reason == gateway.IDInUse {
 		s.logBadRequest(c, m.ID, errors.New(string(answer.Reason)))
 	}
--- a/lab/crowd_test.go
+++ b/lab/crowd_test.go
@@ -135,8 +135,8 @@
 			if atRest := r.Dispatchers[0].IdleBytes; atRest > maxBytesAtRest && !killed {
 				t.Errorf("%d bytes at rest", atRest)
 			}
-			if good := goodClientsOf(j); !killed && (good.p99 > clientPatience || good.unanswered > 0) {
-				t.Errorf("good clients are answered late or not: %+v", good)
+			if good := goodClientsOf(j); !killed && (good.p99 > clientPatience || good.unanswered > 0 || good.refused > good.handIns/10) {
+				t.Errorf("good clients are answered late, refused or not answered: %+v", good)
 			}
 		})
 	}
@@ -191,7 +191,8 @@
 
 // Guards against requests that are sent on after their client has left: it wrote many, read no answer and closed its connection.
 func TestNothingSentForClientsThatLeft(t *testing.T) {
-	s := crowdScenario(64, 512, scenario.Trouble{Kind: scenario.LeaveUnread, At: 0.5, Duration: 4, Count: 10})
+	s := crowdScenario(64, 512, scenario.Trouble{Kind: scenario.LeaveUnread, At: 0.5, Duration: 4, Count: 10},
+		scenario.Trouble{Kind: scenario.Stall, At: 1.2, Duration: 0.4}, scenario.Trouble{Kind: scenario.Stall, At: 2.7, Duration: 0.4})
 	s.Dispatchers.MaxHeld, s.Dispatchers.MaxCalls = 4000, 200 // so that nothing that was taken on has to wait
 	liftLimits(s)
 	r, j := playCrowd(t, s)
@@ -206,21 +207,60 @@
 			}
 		}
 	}
-	answered := map[string]bool{} // handed in again, and answered
+	again := map[string]bool{} // handed in again, by a client that stayed
 	for _, h := range j.HandIns {
-		answered[h.ID] = answered[h.ID] || h.Status != 0
+		again[h.ID] = again[h.ID] || h.LeftAt == 0
 	}
-	left, late := 0, 0
+	stalled := stalledTimes(j)
+	left, late, unseen, sent := 0, 0, 0, 0
 	for _, h := range j.HandIns {
-		if h.LeftAt == 0 || answered[h.ID] {
+		if h.LeftAt == 0 || again[h.ID] {
 			continue
 		}
-		left++
-		if at, ok := firstPush[h.ID]; ok && at > h.LeftAt+inFlightGrace {
-			late++
+		at, pushed := firstPush[h.ID]
+		switch {
+		case stalled.contain(h.SentAt, h.LeftAt): // nothing of it was read before its client had left
+			unseen++
+			if pushed {
+				sent++
+			}
+		case !stalled.touch(h.LeftAt-inFlightGrace, h.LeftAt+inFlightGrace):
+			left++
+			if pushed && at > h.LeftAt+inFlightGrace {
+				late++
+			}
 		}
 	}
 	if left < 500 || late > 0 {
 		t.Errorf("of %d requests whose client had left, %d were first sent more than %.1f s later", left, late, inFlightGrace)
 	}
+	if unseen < 100 || sent > 0 {
+		t.Errorf("of %d requests that were not read before their client had left, %d were sent", unseen, sent)
+	}
+}
+
+// spans are times from and to, in seconds.
+type spans [][2]float64
+
+// stalledTimes returns when the dispatcher stood still.
+func stalledTimes(j *record.Journal) (list spans) {
+	for _, event := range j.ProcessEvents {
+		switch event.Kind {
+		case record.Stalled:
+			list = append(list, [2]float64{event.At, math.Inf(1)})
+		case record.Resumed:
+			list[len(list)-1][1] = event.At
+		}
+	}
+	return list
+}
+
+// contain reports whether one of the spans contains all the time from from to to.
+func (s spans) contain(from, to float64) bool {
+	return slices.ContainsFunc(s, func(span [2]float64) bool { return from > span[0] && to < span[1] })
+}
+
+// touch reports whether one of the spans contains a part of the time from from to to.
+func (s spans) touch(from, to float64) bool {
+	return slices.ContainsFunc(s, func(span [2]float64) bool { return from < span[1] && to > span[0] })
 }
