Mend: a request whose client has left is not handed on

Operators saw: a client closed its connection with much still unread, and its requests were sent on afterwards. Cause: what a client wrote before it left is read from the socket like any other request; nothing looked whether it is still there. Mend: before a message is submitted the socket is asked for the end of the stream or a reset (POLLRDHUP), which it tells behind any unread bytes; the message is refused with 503, as it never ran, and half-closed clients read that. One that waited for the gateway's loop for over 10 ms is asked for again there. A client that leaves while its record is written is owed the end of its message, and it is pushed: it was taken on. Refusals are counted by reason, the first of a connection is logged with what was read ahead.

--- a/dispatcher/failing_system_test.go
+++ b/dispatcher/failing_system_test.go
@@ -212,6 +212,13 @@
 	return sock.HostCalls{}.Peek(fd)
 }
 
+func (c failingSocketCalls) PeerEnded(fd int) (bool, error) {
+	if err := c.check(callClientPeek); err != nil {
+		return false, err
+	}
+	return sock.HostCalls{}.PeerEnded(fd)
+}
+
 func (c failingSocketCalls) ShutdownWrite(fd int) error {
 	if err := c.check(callShutdown); err != nil {
 		return err
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -15,9 +15,11 @@
 
 // Arrived reports a message submitted by a client. Respond is called exactly once.
 type Arrived struct {
-	Message *message.Message
-	Hold    *admission.Hold // the room that the message takes; the gateway gives it back
-	Respond func(Reply)
+	Message     *message.Message
+	Hold        *admission.Hold // the room that the message takes; the gateway gives it back
+	SubmittedAt float64         // in seconds of the dispatcher's clock
+	ClientLeft  func() bool     // reports whether the client has ended its connection; may be nil
+	Respond     func(Reply)
 }
 
 // AcceptFailed reports that a message was not accepted because it could not be written to the ledger.
@@ -101,6 +103,8 @@
 	NotPlaceable Refusal = "not placeable" // the scheduler has no room for the message, or its destination is unknown
 	// IDInUse: another message with its ID is pending, or was settled and its TTL has not ended.
 	IDInUse Refusal = "id in use by another request"
+	// ClientLeft: the client ended its connection before the message was taken on.
+	ClientLeft Refusal = "client left"
 )
 
 // Effect is an output of Gateway: Accept, Answer, WriteRecords, Dial, SendCall, CloseConn, Notify, Watch or Fetch.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -213,11 +213,29 @@
 func (r *Runner) step(e Event) {
 	r.logEvent(e)
 	if arrived, ok := e.(Arrived); ok {
+		if r.refuseAbandoned(arrived) {
+			return
+		}
 		e = r.trackReply(arrived)
 	}
 	r.effects = append(r.effects, r.Gateway.Step(r.Clock(), e)...)
 }
 
+// abandonedAfter is the time, in seconds, after which a submitted message that was not applied yet is checked for whether its client
+// has left.
+const abandonedAfter = 0.01
+
+// refuseAbandoned refuses a message that has waited for the loop if its client has left meanwhile, and reports whether it did.
+func (r *Runner) refuseAbandoned(e Arrived) bool {
+	if e.ClientLeft == nil || r.Clock()-e.SubmittedAt < abandonedAfter || !e.ClientLeft() {
+		return false
+	}
+	e.Hold.Forget()
+	r.Metrics.messageRefused(ClientLeft)
+	e.Respond(Reply{Reason: ClientLeft})
+	return true
+}
+
 // trackReply counts an arrival as one that is owed a reply until that is given.
 func (r *Runner) trackReply(e Arrived) Arrived {
 	r.repliesOwed++
--- a/intake/client.go
+++ b/intake/client.go
@@ -56,6 +56,7 @@
 	ahead                readAhead
 	account              *admission.Client // its share of the room for messages
 	refusals             int               // requests that were refused in a row
+	abandoned            int               // requests that were read after the client had left
 	untoldSince          time.Time         // since when shutting down the write side of an idle connection has failed; zero: it has not
 	queuedFor            time.Duration     // how long the connection may have waited to be accepted while accepts failed
 }
--- a/intake/client_peek.go
+++ b/intake/client_peek.go
@@ -61,3 +61,17 @@
 	})
 	return closed || err != nil
 }
+
+// clientLeft reports whether the client has ended its side of the connection or reset it, also where bytes that it wrote before were not
+// read yet. It is false if that cannot be told.
+func (c *clientConn) clientLeft() bool {
+	if c.rawConn == nil {
+		return false
+	}
+	left := false
+	err := c.rawConn.Control(func(fd uintptr) {
+		ended, err := c.calls.PeerEnded(int(fd))
+		left = err == nil && ended
+	})
+	return err == nil && left
+}
--- a/intake/metrics.go
+++ b/intake/metrics.go
@@ -18,6 +18,7 @@
 	refusedInvalid    refusalReason = "invalid"
 	refusedPath       refusalReason = "no such page"
 	refusedNoMemory                 = refusalReason(admission.NoMemory)
+	refusedClientLeft refusalReason = "client left"
 )
 
 // metricSet counts what happens to requests before they reach the gateway.
@@ -30,7 +31,7 @@
 // newMetricSet returns counters for all reasons.
 func newMetricSet() *metricSet {
 	m := &metricSet{set: metrics.NewSet(), refusal: map[refusalReason]*metrics.Counter{}}
-	for _, reason := range []refusalReason{refusedUnreadable, refusedInvalid, refusedPath, refusedNoMemory,
+	for _, reason := range []refusalReason{refusedUnreadable, refusedInvalid, refusedPath, refusedNoMemory, refusedClientLeft,
 		refusalReason(admission.NoRoom), refusalReason(admission.OverShare)} {
 		m.refusal[reason] = m.set.NewCounter(fmt.Sprintf("orchiddrift_intake_refusals_total{why=%q}", reason))
 	}
--- a/intake/serve.go
+++ b/intake/serve.go
@@ -254,6 +254,9 @@
 	if !ok {
 		return r.respond(response{status: fasthttp.StatusServiceUnavailable}, true)
 	}
+	if c.clientLeft() {
+		return r.refuseAbandoned(m.ID, closeAfter)
+	}
 	now := s.clock()
 	hold, refusal := s.room.Take(now, c.account, m.Size())
 	if refusal != admission.Granted {
@@ -265,7 +268,7 @@
 	m.ExpiresAt = now + timeLeft - c.arrivalDelay()
 	c.readDelay = 0
 	reply := make(chan gateway.Reply, 1)
-	s.submit(gateway.Arrived{Message: m, Hold: hold, Respond: func(r gateway.Reply) { reply <- r }})
+	s.submit(gateway.Arrived{Message: m, Hold: hold, SubmittedAt: now, ClientLeft: c.clientLeft, Respond: func(r gateway.Reply) { reply <- r }})
 	answer := <-reply
 	c.answered.add(m)
 	s.debugLog.Debug().Str("ntf", m.ID).Stringer("client", c.RemoteAddr()).Bool("taken", answer.Accepted).Str("why", string(answer.Reason)).
@@ -281,6 +284,17 @@
 	return r.respond(response{status: fasthttp.StatusServiceUnavailable, retryAfter: answer.RetryIn}, closeAfter)
 }
 
+// refuseAbandoned refuses a message whose client has left, and logs the first one of a connection.
+func (r *request) refuseAbandoned(id string, closeAfter bool) (again bool) {
+	c := r.conn
+	if c.abandoned++; c.abandoned == 1 {
+		r.server.badRequestLog.Info().Stringer("client", c.RemoteAddr()).Str("ntf", shortened(id)).Int("read_ahead", len(c.ahead.bytes())).
+			Msg("client left before its request was taken on")
+	}
+	r.server.metrics.refused(refusedClientLeft)
+	return r.respond(response{status: fasthttp.StatusServiceUnavailable}, closeAfter)
+}
+
 // decode returns the message of a request without its body, and the time, in seconds, that its client allows, at most its TTL. The message
 // does not refer to memory of the request. It is returned with an error too.
 func (s *Server) decode(h *requestHead) (*message.Message, float64, error) {
--- a/sock/sock.go
+++ b/sock/sock.go
@@ -25,6 +25,8 @@
 	Read(fd int, b []byte) (int, error)
 	Write(fd int, b []byte) (int, error)
 	Peek(fd int) (int, error) // returns 1 if bytes have arrived, and 0 without an error at the end of the stream
+	// PeerEnded reports whether the other side has ended the stream or reset the connection, whatever bytes wait to be read.
+	PeerEnded(fd int) (bool, error)
 	ShutdownWrite(fd int) error
 }
 
@@ -57,6 +59,15 @@
 	return n, err
 }
 
+// PeerEnded asks the system for the events of a socket without waiting.
+func (HostCalls) PeerEnded(fd int) (bool, error) {
+	events := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	if _, err := unix.Poll(events, 0); err != nil {
+		return false, err
+	}
+	return events[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0, nil
+}
+
 // ShutdownWrite shuts down the write side of a socket.
 func (HostCalls) ShutdownWrite(fd int) error { return syscall.Shutdown(fd, syscall.SHUT_WR) }
 
