Mend: a request that comes again after its short time is still recognized

Operators saw: an id ran twice when it came again after its client had left. Cause: the ID of a settled message was forgotten with the end of its TTL, at the next list. A copy of its request that waited unread on another connection starts with the whole of the time that its client allowed, so for a budget of 100 ms it was new a second later. Mend: an ID is remembered for 5 s more, which covers the idle and the read time-out of a connection; only a copy is answered from it, another request with the ID is taken on after the TTL as before (TestIDOfAnEndedRequest). A restart forgets IDs as before (open).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,7 +67,7 @@
 	firstRun      decide.FirstRun // its first push that may have run, as of the latest placement
 }
 
-// settledMessage is what is kept of a settled message until its TTL has ended, to recognize a request that is sent once more.
+// settledMessage is what is kept of a settled message until lateCopySpan after its TTL, to recognize a request that is sent once more.
 type settledMessage struct {
 	expiresAt   float64 // end of its TTL
 	fingerprint message.Fingerprint
@@ -264,12 +264,12 @@
 // accept accepts or refuses a message and reports whether it was accepted as a new one.
 func (g *Gateway) accept(now float64, e Arrived) bool {
 	m := e.Message
-	known, idInUse := g.fingerprintOf(m.ID)
-	if idInUse && known == m.Fingerprint() { // the request of a pending or settled message, sent once more
+	known, state := g.lookUpID(now, m.ID)
+	if state != idUnknown && known == m.Fingerprint() { // the request of a pending or settled message, sent once more
 		g.emit(Answer{m.ID, e.Respond, Reply{Accepted: true}})
 		return false
 	}
-	arrival := permit.Arrival{IDInUse: idInUse, PushesStopped: g.pushesStopped, LedgerRoom: g.hasRoom(len(m.Body))}
+	arrival := permit.Arrival{IDInUse: state == idInUse, PushesStopped: g.pushesStopped, LedgerRoom: g.hasRoom(len(m.Body))}
 	if denial := permit.Accept(arrival); denial != permit.Granted {
 		g.emit(Answer{m.ID, e.Respond, Reply{Reason: refusalReasons[denial]}})
 		return false
@@ -290,15 +290,35 @@
 	return true
 }
 
-// fingerprintOf returns the fingerprint of the pending or settled message with an ID, and reports whether there is one.
-func (g *Gateway) fingerprintOf(id string) (message.Fingerprint, bool) {
+// idState is what is known of the ID of a message.
+type idState int
+
+// The states of an ID.
+const (
+	idUnknown    idState = iota
+	idInUse              // a message with it is pending, or is settled and its TTL has not ended
+	idRemembered         // a message with it is settled and its TTL has ended
+)
+
+// lookUpID returns the fingerprint of the message with an ID, if it is known, and the state of the ID.
+func (g *Gateway) lookUpID(now float64, id string) (message.Fingerprint, idState) {
 	if p := g.pending[id]; p != nil {
-		return p.message.Fingerprint(), true
+		return p.message.Fingerprint(), idInUse
 	}
 	settled, ok := g.settled[message.HashID(id)]
-	return settled.fingerprint, ok
+	switch {
+	case !ok:
+		return 0, idUnknown
+	case settled.expiresAt < now:
+		return settled.fingerprint, idRemembered
+	}
+	return settled.fingerprint, idInUse
 }
 
+// lateCopySpan is how long, in seconds, the ID of a settled message is remembered after its TTL: a copy of its request may have waited
+// on another connection, from its first byte or the last answer there to its last byte, while this process read nothing of it.
+const lateCopySpan = 5.0
+
 // refusalReasons are the reasons that clients and metrics are told, by the reason against an arrival.
 var refusalReasons = map[permit.Denial]Refusal{permit.ShuttingDown: ShuttingDown, permit.LedgerFull: LedgerFull,
 	permit.IDInUse: IDInUse}
@@ -352,11 +372,11 @@
 }
 
 // prune removes idle connections to endpoints that are no longer listed, told waits of destinations or routes that are
-// no longer listed, and settled messages whose TTL has ended. It runs after each update or failure of the endpoint list.
+// no longer listed, and settled messages that are remembered no longer. It runs after each update or failure of the endpoint list.
 func (g *Gateway) prune(now float64) {
 	g.checker.Prune(now, g.directory.Contains)
 	for id, m := range g.settled {
-		if m.expiresAt < now {
+		if m.expiresAt+lateCopySpan < now {
 			g.forget(id)
 		}
 	}
@@ -374,11 +394,12 @@
 	})
 }
 
-// remove removes a settled message. Its ID and fingerprint are kept until its TTL ends, so that the message is not pushed again if its
-// request is sent once more.
+// remove removes a settled message. Its ID and fingerprint are kept until lateCopySpan after its TTL, so that the message is not pushed
+// again if its request is sent once more.
 func (g *Gateway) remove(id string) {
 	if p := g.pending[id]; p != nil {
 		p.hold.Settle()
+		g.forget(message.HashID(id)) // an earlier message with it
 		g.settled[message.HashID(id)] = settledMessage{p.message.ExpiresAt, p.message.Fingerprint(), p.hold}
 	}
 	g.checker.Finished(id)
--- a/gateway/same_id_test.go
+++ b/gateway/same_id_test.go
@@ -111,6 +111,25 @@
 	}
 }
 
+// Guards against a message that runs twice because its request comes again after its short TTL: a copy that waited unread on another
+// connection has the time that its client allowed still before it.
+func TestCopyAfterTheEndOfItsTime(t *testing.T) {
+	f := newFixture("A")
+	short := func(m *message.Message) { m.ExpiresAt = f.now + 0.1 }
+	f.gateway.Step(f.now, gateway.Arrived{Message: requestFor(short)})
+	effects, _ := f.gateway.PlaceDue(f.now)
+	call := effects[0].(gateway.Dial).Call
+	f.gateway.Step(f.now, gateway.Dialed{Call: call, Conn: f.newConn()})
+	f.gateway.Step(f.now, gateway.CallEnded{Call: call, Result: push.UniformResult(1, push.Delivered)})
+	for range 4 {
+		f.now++
+		f.gateway.Step(f.now, gateway.Listed{})
+		if reply, answered := answerTo(f, requestFor(short)); !answered || !reply.Accepted || f.gateway.Pending() > 0 {
+			t.Fatalf("at %g s the request is taken on once more: %v, %+v", f.now-1000, answered, reply)
+		}
+	}
+}
+
 // Guards against replies that are mixed up where two requests with one ID are taken in at once, and the write of the first one's
 // record fails: the other one is refused at once, and the same request once more is not confirmed.
 func TestIDOfARequestThatIsNotStored(t *testing.T) {
