Mend: a list or an answer of the agent is never read into memory as a whole

Cause: an answer of the agent was read with a limit of 16 MB and parsed as a whole, six could be open at once; answers to notices had the same limit. Mend: a list is decoded entry by entry, at most 16 KB for one, and at most as many entries as memory has been set apart for (4,096 in any case; the platform has at most 3,200 endpoints); a larger one is not used, logged, and counts as a failed request. By reading, not by a run: before, a list of 100,000 entries was published.

--- a/admission/division.go
+++ b/admission/division.go
@@ -43,6 +43,8 @@
 	// workingShare is the part of the heap's limit that reserved bytes may take. The rest is for what is garbage until the next
 	// collection: with less, the collector would run without end.
 	workingShare = 0.55
+	// endpointBytes is charged for an endpoint of the list: its entries in the tables of all packages.
+	endpointBytes = 512
 	// baseHeapBytes is the heap without any clients.
 	baseHeapBytes = 1_500_000
 	// ConnectionBytes is charged for a client's connection.
@@ -67,6 +69,7 @@
 	Bytes          [purposeCount]int // by purpose
 	MaxConnections int               // of clients
 	MaxMessages    int               // without a final answer, those with a notice on its way included
+	MaxEndpoints   int               // in the list
 	ScarceBytes    int               // of messages: what memory and the lasting folder can both hold
 }
 
@@ -93,6 +96,7 @@
 		d.Bytes[p] = int(shares[p] * working)
 	}
 	d.MaxConnections = min(l.Descriptors/descriptorsPerConnection, d.Bytes[Connections]/ConnectionBytes)
+	d.MaxEndpoints = d.Bytes[List] / endpointBytes
 	d.ScarceBytes = min(d.Bytes[Messages], int(ledgerShare*float64(l.DiskBytes)))
 	return d
 }
--- a/dispatcher/process.go
+++ b/dispatcher/process.go
@@ -65,6 +65,7 @@
 	}
 	p.admission = newMemoryAdmission(cfg, p.log)
 	p.agent = platform.NewAgent(cfg.Discovery, cfg.Known.Version, p.log)
+	p.agent.SetMaxEntries(p.admission.division.MaxEndpoints)
 	p.agent.SetDialer(platform.Dialer(p.dialer(exchange.Agent, system.DialAgent, syserr.AgentDial, syserr.AgentRead, syserr.AgentWrite)))
 	p.runner = p.newRunner(dir)
 	return p, nil
