Mend: large answers of endpoints are read only into memory that was reserved

Cause: each call that is out could read an answer of 64 KB, whatever memory there is, and a pooled response kept the memory of all fields of its head (some 70 KB for 4 KB of one-byte names). Mend: a body of over 8 KB is read only if 64 KB could be reserved for it; else it counts as one that cannot be read, which may have run, as any too large body did. A response with over 32 fields is not used again.

--- a/dispatcher/process.go
+++ b/dispatcher/process.go
@@ -83,6 +83,7 @@
 		Log:           p.log,
 		Events:        make(chan gateway.Event, eventQueueSize),
 		Dialer:        p.dialer(exchange.Endpoint, p.system.Dial, syserr.Dial, syserr.EndpointRead, syserr.EndpointSend),
+		Budget:        p.admission.budget,
 		WritePerEvent: p.cfg.Ledger.Sync == syncAlways,
 		Metrics:       gateway.NewMetrics(),
 		Replies:       invariant.NewReplyChecker(p.invariants),
--- a/gateway/dial.go
+++ b/gateway/dial.go
@@ -15,11 +15,16 @@
 }
 
 // dial opens a connection with Dialer, or with the system's dialer if it is nil. The timeout is in seconds.
-func (r *Runner) dial(addr string, timeout float64) (*push.Conn, push.End) {
+func (r *Runner) dial(addr string, timeout float64) (conn *push.Conn, end push.End) {
 	if r.Dialer == nil {
-		return push.Dial(addr, timeout)
+		conn, end = push.Dial(addr, timeout)
+	} else {
+		conn, end = r.Dialer.Dial(addr, timeout)
 	}
-	return r.Dialer.Dial(addr, timeout)
+	if conn != nil {
+		conn.UseBudget(r.Budget)
+	}
+	return conn, end
 }
 
 // tryDial attempts to connect, and passes the result to results.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"orchiddrift/admission"
 	"orchiddrift/decide"
 	"orchiddrift/invariant"
 	"orchiddrift/ledger"
@@ -34,6 +35,7 @@
 	Log                zerolog.Logger
 	Events             chan Event                   // events that Run has not applied yet
 	Dialer             push.Dialer                  // nil for the system's dialer
+	Budget             *admission.Budget            // of the memory for responses; may be nil
 	WritePerEvent      bool                         // write, and sync, the records of each event separately
 	Metrics            *Metrics                     // may be nil
 	Replies            *invariant.ReplyChecker      // may be nil
--- a/push/call.go
+++ b/push/call.go
@@ -16,6 +16,8 @@
 
 const (
 	maxResponseBody   = 64 << 10 // maximum size of a response body, in bytes
+	smallResponseBody = 8 << 10  // size of a response body up to which no memory is reserved, in bytes
+	maxReusedFields   = 32       // header fields up to which a response is used again
 	maxBatchBody      = 64 << 10 // maximum size of the request body of a batch, in bytes
 	batchItemOverhead = 256      // bytes reserved for the JSON syntax of each message of a batch
 )
@@ -60,7 +62,7 @@
 func (c *Conn) Send(messages []*message.Message, timeout float64) CallResult {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
+	defer c.releaseResponse(resp)
 	timeout = math.Floor(timeout*1000) / 1000 // as X-Budget announces it; the endpoint disregards a response that it sent later
 	encodeRequest(req, c.addr, messages, timeout)
 	end := c.exchange(messages[0].ID, req, resp, len(messages) == 1, time.Now().Add(toDuration(timeout)))
--- a/push/conn.go
+++ b/push/conn.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"orchiddrift/admission"
 	"orchiddrift/exchange"
 	"orchiddrift/syserr"
 )
@@ -43,8 +44,14 @@
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	writeBy time.Time // latest time for the last byte of the request; zero for none
+
+	budget   *admission.Budget // of the memory for responses; may be nil
+	reserved int               // bytes reserved for the response
 }
 
+// UseBudget sets the accounts from which memory for the response is reserved.
+func (c *Conn) UseBudget(budget *admission.Budget) { c.budget = budget }
+
 // maxWriteRetry limits the time in which a request is written again after a local error. A request that is written later might reach
 // its endpoint during a wait that was told meanwhile, or after the endpoint has begun to drain.
 const maxWriteRetry = 50 * time.Millisecond
@@ -243,12 +250,34 @@
 // part of the body without an error if the response is truncated before that, so the trailer section is read as well.
 func (c *Conn) readBody(resp *fasthttp.Response) error {
 	chunked := resp.Header.ContentLength() == chunkedLength
-	if err := resp.ReadBody(c.reader, maxResponseBody); err != nil || !chunked {
+	if err := resp.ReadBody(c.reader, c.responseLimit(resp.Header.ContentLength())); err != nil || !chunked {
 		return err
 	}
 	return resp.Header.ReadTrailer(c.reader)
 }
 
+// responseLimit returns the largest body that may be read, for a response that announces a length; below 0 it announces none. A body
+// over smallResponseBody needs memory that is reserved.
+func (c *Conn) responseLimit(length int) int {
+	if length >= 0 && length <= smallResponseBody {
+		return smallResponseBody
+	}
+	if length > maxResponseBody || c.reserved == 0 && !c.budget.Reserve(admission.Responses, maxResponseBody) {
+		return smallResponseBody
+	}
+	c.reserved = maxResponseBody
+	return maxResponseBody
+}
+
+// releaseResponse gives back what a response took. One with very many fields is not used again, as it would keep the memory for them.
+func (c *Conn) releaseResponse(resp *fasthttp.Response) {
+	c.budget.Release(admission.Responses, c.reserved)
+	c.reserved = 0
+	if resp.Header.Len() <= maxReusedFields {
+		fasthttp.ReleaseResponse(resp)
+	}
+}
+
 // awaitFirstByte waits for the first byte of a response. A byte read after the deadline counts as a timeout: a process that
 // was suspended cannot determine whether the response arrived in time, and the endpoint disregards one that it sent too
 // late. Taking it as delivered would settle a message that the endpoint does not consider settled. A process that is suspended
