--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -375,6 +375,7 @@
 // no longer listed, and settled messages that are remembered no longer. It runs after each update or failure of the endpoint list.
 func (g *Gateway) prune(now float64) {
 	g.checker.Prune(now, g.directory.Contains)
+	g.recoveryChecker.Prune(func(owner string) bool { return g.directory.KnownDest(owner) || g.directory.Contains(owner) })
 	for id, m := range g.settled {
 		if m.expiresAt+lateCopySpan < now {
 			g.forget(id)
--- a/intake/client.go
+++ b/intake/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"syscall"
 	"time"
 
@@ -180,7 +181,7 @@
 func (c *clientConn) requestReceived(id string) (ok, closeAfter bool) {
 	c.listener.lock.Lock()
 	defer c.listener.lock.Unlock()
-	c.requestID = id
+	c.requestID = strings.Clone(shortened(id)) // for the log
 	if permit.HandOn(c.state()) != permit.Granted {
 		c.listener.invariants.Report(invariant.ClosedUnanswered, id, "request read on a connection closed for reading: %s", c.reason)
 		return false, true
--- a/intake/withhold.go
+++ b/intake/withhold.go
@@ -17,26 +17,28 @@
 
 // answeredRequest is a request that was answered at a time.
 type answeredRequest struct {
-	id          string
+	id          message.IDHash
 	fingerprint message.Fingerprint
 	at          time.Time
 }
 
 // add records that the request with a message was answered.
 func (a *answeredRequests) add(m *message.Message) {
-	a.last = append(a.last, answeredRequest{m.ID, m.Fingerprint(), time.Now()})
+	a.last = append(a.last, answeredRequest{message.HashID(m.ID), m.Fingerprint(), time.Now()})
 	a.last = a.last[max(0, len(a.last)-rememberedIDs):]
 }
 
 // hasID reports whether a request with the ID was answered.
 func (a *answeredRequests) hasID(id string) bool {
-	return slices.ContainsFunc(a.last, func(request answeredRequest) bool { return request.id == id })
+	hash := message.HashID(id)
+	return slices.ContainsFunc(a.last, func(request answeredRequest) bool { return request.id == hash })
 }
 
 // find returns the time at which the request with an ID and a fingerprint was answered, and whether it was.
 func (a *answeredRequests) find(id string, fingerprint message.Fingerprint) (time.Time, bool) {
+	hash := message.HashID(id)
 	for _, request := range a.last {
-		if request.id == id && request.fingerprint == fingerprint {
+		if request.id == hash && request.fingerprint == fingerprint {
 			return request.at, true
 		}
 	}
--- a/invariant/connections.go
+++ b/invariant/connections.go
@@ -1,7 +1,13 @@
 package invariant
 
-// recentConnections is how many connections a ConnectionChecker remembers.
-const recentConnections = 1024
+import "strings"
+
+const (
+	// recentConnections is how many connections a ConnectionChecker remembers.
+	recentConnections = 1024
+	// maxReportedID is the length, in bytes, to which an ID is cut that is kept for a report.
+	maxReportedID = 64
+)
 
 // ConnectionChecker checks that a connection carries a single call: while it could carry another one, a late copy of its answer
 // could be taken for that of the other call. It is not safe for concurrent use. A nil ConnectionChecker checks nothing.
@@ -29,7 +35,7 @@
 		delete(c.carried, c.order[0])
 		c.order = c.order[1:]
 	}
-	c.carried[connection] = id
+	c.carried[connection] = strings.Clone(id[:min(len(id), maxReportedID)])
 	c.order = append(c.order, connection)
 }
 
--- a/invariant/recovery.go
+++ b/invariant/recovery.go
@@ -1,6 +1,9 @@
 package invariant
 
-import "math"
+import (
+	"maps"
+	"math"
+)
 
 // RecoveryTerms say what a destination or route can take as it returns from an outage. Times are in seconds.
 type RecoveryTerms struct {
@@ -102,6 +105,17 @@
 	r.sent[throttle] = list[max(0, len(list)-maxTrackedDeliveries):]
 }
 
+// Prune removes what is kept of destinations and routes that are not known any more.
+func (r *RecoveryChecker) Prune(known func(owner string) bool) {
+	if r == nil {
+		return
+	}
+	unknown := func(owner string, _ []float64) bool { return !known(owner) }
+	maps.DeleteFunc(r.arrivals, unknown)
+	maps.DeleteFunc(r.sent, unknown)
+	maps.DeleteFunc(r.bound, func(owner string, _ *boundThrottle) bool { return !known(owner) })
+}
+
 // CheckSend checks a call that is about to be sent to a destination or route.
 func (r *RecoveryChecker) CheckSend(now float64, id, throttle, dest string, terms RecoveryTerms) {
 	if r == nil || r.bound[throttle] == nil || terms.ColdRate <= 0 {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -157,8 +157,9 @@
 
 // RecommendedBatchBytes returns the recommended size of the records in one Write. A batch of that size always fits in a segment.
 func (l *Ledger) RecommendedBatchBytes() int {
-	const batchesPerSegment = 3 // number of batches of the recommended size per segment
-	return l.segmentCapacity / batchesPerSegment
+	const batchesPerSegment = 3           // number of batches of the recommended size per segment
+	const maxRecommendedBytes = 128 << 10 // a batch is held in memory while it is written
+	return min(l.segmentCapacity/batchesPerSegment, maxRecommendedBytes)
 }
 
 // Write appends records atomically: either all of them are stored or none is, even if the write fails part-way, what it left
--- a/seglog/seglog.go
+++ b/seglog/seglog.go
@@ -192,11 +192,9 @@
 		if err != nil {
 			return err
 		}
-		content := make([]byte, l.segmentBytes)
-		copy(content, freeHeader().encode())
-		if wrote, err := f.WriteAt(content, 0); wrote < len(content) || err != nil {
+		if err := fillFreeSegment(f, l.segmentBytes); err != nil {
 			l.removeFile(&segment{name: name, file: f})
-			return fmt.Errorf("%s: %w", name, orShortWrite(err))
+			return fmt.Errorf("%s: %w", name, err)
 		}
 		if l.sync {
 			if err := errors.Join(f.Sync(), l.folder.Sync()); err != nil {
@@ -210,6 +208,23 @@
 	return nil
 }
 
+// fillBytes is how much of a new file is written at a time.
+const fillBytes = 64 << 10
+
+// fillFreeSegment writes a segment without records, so that its file has all of its size.
+func fillFreeSegment(f disk.File, size int) error {
+	content := make([]byte, min(size, fillBytes))
+	copy(content, freeHeader().encode())
+	for offset := 0; offset < size; offset += fillBytes {
+		part := content[:min(len(content), size-offset)]
+		if wrote, err := f.WriteAt(part, int64(offset)); wrote < len(part) || err != nil {
+			return orShortWrite(err)
+		}
+		clear(content)
+	}
+	return nil
+}
+
 // ReleaseOldest frees the oldest segment, so that its file can be reused. The caller must have copied the records that it
 // still needs; with Sync, they must be on disk. The active segment is never released.
 func (l *Log) ReleaseOldest() error {
