--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -42,10 +42,10 @@
 func TestTooLittleMemoryIsRefused(t *testing.T) {
 	l := Limits{MemoryBytes: 12_000_000, DiskBytes: 3_000_000, Descriptors: 1024, MaxMessages: 100}
 	_, err := Divide(l)
-	if err == nil || err.Error() != fmt.Sprintf("limits.memory_mb cannot be 12: a dispatcher with these limits needs at least %d", leastMemoryMB(l)) {
+	if err == nil || err.Error() != fmt.Sprintf("limits.memory_mb cannot be 12: a dispatcher with these limits needs at least %d", LeastMemoryMB(l)) {
 		t.Fatal(err)
 	}
-	l.MemoryBytes = leastMemoryMB(l) * bytesPerMB
+	l.MemoryBytes = LeastMemoryMB(l) * bytesPerMB
 	if _, err := Divide(l); err != nil {
 		t.Error(err)
 	}
--- a/admission/division.go
+++ b/admission/division.go
@@ -82,7 +82,7 @@
 	if d.sufficient() {
 		return d, nil
 	}
-	return d, fmt.Errorf("limits.memory_mb cannot be %g: a dispatcher with these limits needs at least %d", float64(l.MemoryBytes)/bytesPerMB, leastMemoryMB(l))
+	return d, fmt.Errorf("limits.memory_mb cannot be %g: a dispatcher with these limits needs at least %d", float64(l.MemoryBytes)/bytesPerMB, LeastMemoryMB(l))
 }
 
 const bytesPerMB = 1_000_000
@@ -111,8 +111,8 @@
 	return true
 }
 
-// leastMemoryMB returns the least memory, in whole MB, with which a process with the other limits can work.
-func leastMemoryMB(l Limits) int {
+// LeastMemoryMB returns the least memory, in whole MB, with which a process with the other limits can work.
+func LeastMemoryMB(l Limits) int {
 	for mb := 1; ; mb++ {
 		l.MemoryBytes = mb * bytesPerMB
 		if divide(l).sufficient() {
--- a/dispatcher/memory.go
+++ b/dispatcher/memory.go
@@ -18,9 +18,9 @@
 	room       *admission.Room
 }
 
-// newMemoryAdmission returns the accounts of a configuration, and logs how its limits are divided.
-func newMemoryAdmission(cfg *config, log zerolog.Logger) *memoryAdmission {
-	a := &memoryAdmission{limitBytes: cfg.admissionLimits().MemoryBytes, division: cfg.division}
+// newMemoryAdmission returns the accounts of a configuration with a memory limit, and logs how that is divided.
+func newMemoryAdmission(cfg *config, limitBytes int, log zerolog.Logger) *memoryAdmission {
+	a := &memoryAdmission{limitBytes: limitBytes, division: cfg.division}
 	a.budget = admission.NewBudget(cfg.division, func(p admission.Purpose, full bool) {
 		if full {
 			log.Warn().Stringer("purpose", p).Int("bytes", cfg.division.Bytes[p]).Msg("memory account full: what does not fit is refused")
--- /dev/null
+++ b/dispatcher/memory_test.go
@@ -0,0 +1,94 @@
+package dispatcher
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"orchiddrift/admission"
+)
+
+// exampleConfig returns the path of a copy of the example configuration with other limits.
+func exampleConfig(t *testing.T, limits string) string {
+	t.Helper()
+	text, err := os.ReadFile("../example/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, rest, ok := strings.Cut(string(text), `"limits": {`)
+	_, after, okRest := strings.Cut(rest, "}")
+	if !ok || !okRest {
+		t.Fatal("the example has no limits")
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(before+`"limits": {`+limits+"}"+after), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Guards against a process that starts with less memory than it needs, and is killed later: the error says how much that is.
+func TestTooLittleMemoryIsRefusedAtTheStart(t *testing.T) {
+	load := func(limits string) (*config, error) {
+		path := exampleConfig(t, limits)
+		return loadConfig(System{ReadFile: os.ReadFile, Getenv: func(name string) string {
+			return map[string]string{"ROUTER_CONFIG": path, "ROUTER_STATE": t.TempDir()}[name]
+		}})
+	}
+	_, err := load(`"cores": 1, "memory_mb": 12, "sockets": 1024, "disk_mb": 3`)
+	if err == nil || !strings.Contains(err.Error(), "limits.memory_mb cannot be 12: a dispatcher with these limits needs at least ") {
+		t.Errorf("12 MB: %v", err)
+	}
+	for _, memory := range []string{"32", "64", "192", "2048"} {
+		for _, sockets := range []string{"64", "256", "1024", "4096"} {
+			if _, err := load(`"cores": 1, "memory_mb": ` + memory + `, "sockets": ` + sockets + `, "disk_mb": 3`); err != nil {
+				t.Errorf("%s MB, %s sockets: %v", memory, sockets, err)
+			}
+		}
+	}
+}
+
+// Guards against operators who cannot tell what memory is used for: the division is logged, an account that is full is logged once, and
+// the metrics have each account beside the limit and the resident memory.
+func TestMemoryIsTold(t *testing.T) {
+	cfg := &config{Limits: limits{Cores: 1, MemoryMB: 32, Sockets: 1024, DiskMB: 3}}
+	var err error
+	if cfg.division, err = admission.Divide(admission.Limits{MemoryBytes: 32_000_000, DiskBytes: 3_000_000, Descriptors: 1024, MaxMessages: 100}); err != nil {
+		t.Fatal(err)
+	}
+	var text bytes.Buffer
+	a := newMemoryAdmission(cfg, 32_000_000, zerolog.New(&text))
+	for range 3 {
+		a.budget.Reserve(admission.Requests, 32_000_000)
+	}
+	a.budget.Reserve(admission.Requests, 1)
+	a.budget.Release(admission.Requests, 1)
+	var messages []string
+	for line := range strings.Lines(text.String()) {
+		var entry struct{ Message, Purpose string }
+		if err := json.Unmarshal([]byte(line), &entry); err != nil {
+			t.Fatal(err)
+		}
+		messages = append(messages, entry.Purpose+" "+entry.Message)
+	}
+	want := []string{" memory divided", "requests memory account full: what does not fit is refused", "requests memory account has room again"}
+	if strings.Join(messages, "\n") != strings.Join(want, "\n") {
+		t.Errorf("logged %q", messages)
+	}
+	var metrics bytes.Buffer
+	a.write(&metrics)
+	for _, series := range []string{"orchiddrift_memory_limit_bytes 32000000\n", `orchiddrift_memory_refusals_total{purpose="requests"} 3`,
+		`orchiddrift_memory_peak_bytes{purpose="requests"} 1`, `orchiddrift_memory_account_bytes{purpose="connections"} `} {
+		if !strings.Contains(metrics.String(), series) {
+			t.Errorf("%q is missing in\n%s", series, &metrics)
+		}
+	}
+	if strings.Contains(metrics.String(), "orchiddrift_memory_resident_bytes 0\n") {
+		t.Error("the resident memory is not told")
+	}
+}
--- a/dispatcher/process.go
+++ b/dispatcher/process.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.admission = newMemoryAdmission(cfg, p.log)
+	p.admission = newMemoryAdmission(cfg, cfg.admissionLimits().MemoryBytes, p.log)
 	p.agent = platform.NewAgent(cfg.Discovery, cfg.Known.Version, p.log)
 	p.agent.SetMaxEntries(p.admission.division.MaxEndpoints)
 	p.agent.SetDialer(platform.Dialer(p.dialer(exchange.Agent, system.DialAgent, syserr.AgentDial, syserr.AgentRead, syserr.AgentWrite)))
--- a/lab/crowd/crowd.go
+++ b/lab/crowd/crowd.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -192,9 +191,6 @@
 	return n > 0 || !os.IsTimeout(err)
 }
 
-// nextID returns the ID of a new request.
-func (c *Crowd) nextID() string { return fmt.Sprintf("crowd-%d", c.requests.Add(1)) }
-
 // sleep waits for d or until ctx is done.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
--- a/lab/crowd/requests.go
+++ b/lab/crowd/requests.go
@@ -28,6 +28,7 @@
 
 // request is a request of a crowd. Its message is valid unless topic or dest are not.
 type request struct {
+	number                 int64 // among the requests of all crowds
 	id, topic, tenant, key string
 	dest                   string
 	fields                 string // further lines of the head
@@ -53,7 +54,9 @@
 			topic = t.Name
 		}
 	}
-	return request{id: v.crowd.nextID(), topic: topic, tenant: world.Tenants[0].Name, dest: fmt.Sprint(v.random.IntN(len(world.Partners))), body: body}
+	number, dest := v.crowd.requests.Add(1), fmt.Sprint(v.random.IntN(len(world.Partners)))
+	id := fmt.Sprintf("%s-crowd-%d", dest, number) // partners that share listeners find the destination at its beginning
+	return request{number: number, id: id, topic: topic, tenant: world.Tenants[0].Name, dest: dest, body: body}
 }
 
 // largeRequest returns a large request for a class that does not exist. With fields, its head is as large as it may be and consists of
@@ -77,11 +80,9 @@
 // record adds the hand-in of a valid request to the journal.
 func (v *visitor) record(r request) *record.HandIn {
 	now := v.crowd.Clock.Now()
-	number := 0
-	_, _ = fmt.Sscanf(r.id, "crowd-%d", &number)
 	dest := 0
 	_, _ = fmt.Sscan(r.dest, &dest)
-	h := &record.HandIn{ID: r.id, PlanIndex: -crowdIndex - number, Topic: r.topic, Tenant: r.tenant, Dest: dest, Key: r.key, Dispatcher: v.dispatcher,
+	h := &record.HandIn{ID: r.id, PlanIndex: -crowdIndex - int(r.number), Topic: r.topic, Tenant: r.tenant, Dest: dest, Key: r.key, Dispatcher: v.dispatcher,
 		PlannedAt: now, SentAt: now, ExpiresAt: now + requestTime, Foreign: true, Content: content.DigestOf("", []byte(r.body))}
 	v.crowd.Journal.AddHandIn(h)
 	return h
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -84,6 +84,10 @@
 		s.Troubles = append(s.Troubles, drawOutOfTurn(s, outOfTurn))
 	}
 	s.Troubles = append(s.Troubles, drawSameID(s, newRand(seed, sameIDStream))...)
+	if crowds := drawCrowds(s, newRand(seed, crowdStream)); len(crowds) > 0 {
+		s.Troubles = append(s.Troubles, crowds...)
+		d.MemoryMB = crowdMemoryMB
+	}
 	if wide { // after the faults are drawn, so that they only affect destinations with listeners of their own
 		group := s.Groups[len(s.Groups)-1]
 		group.Count, group.Endpoints, group.SharedListeners, group.Share, group.Distribution = wideDestinations, wideEndpoints, wideListeners, wideShare, scenario.EvenShares
@@ -113,6 +117,7 @@
 	outOfTurnStream
 	copyStream
 	sameIDStream
+	crowdStream
 )
 
 // drawTrouble draws one fault.
@@ -206,6 +211,41 @@
 	return []scenario.Trouble{{Kind: scenario.SameID, At: at, Duration: s.Length - at, Share: share}}
 }
 
+// The crowds of a plan.
+const (
+	// crowdShare is the share of the plans that have crowds.
+	crowdShare = 0.6
+	// maxCrowds is the largest number of crowds in a plan, and maxCrowded the largest number of dispatchers that one comes to.
+	maxCrowds, maxCrowded = 3, 3
+	// crowdMemoryMB is the memory limit of a dispatcher in a plan with crowds. Its program holds the laboratory too.
+	crowdMemoryMB = 64
+)
+
+// crowdSizes are the smallest and the largest number of clients of a crowd, by its kind.
+var crowdSizes = map[string][2]int{scenario.SlowWriters: {40, 160}, scenario.HalfRequests: {40, 160}, scenario.ManyFields: {40, 160},
+	scenario.WholeLarge: {10, 60}, scenario.Flood: {1, 2}, scenario.LeaveUnread: {2, 6}}
+
+// crowdKinds lists the kinds of crowds in the order in which they are drawn.
+var crowdKinds = []string{scenario.SlowWriters, scenario.HalfRequests, scenario.ManyFields, scenario.WholeLarge, scenario.Flood, scenario.LeaveUnread}
+
+// drawCrowds draws crowds of bad clients at some dispatchers, or none.
+func drawCrowds(s *scenario.Scenario, random *rand.Rand) (crowds []scenario.Trouble) {
+	if random.Float64() >= crowdShare {
+		return nil
+	}
+	for range 1 + random.IntN(maxCrowds) {
+		t := scenario.Trouble{Kind: crowdKinds[random.IntN(len(crowdKinds))], At: quietStart + random.Float64()*(s.Length-quietStart)/2,
+			Duration: 1 + 3*random.Float64(), Dispatchers: random.Perm(s.Dispatchers.Count)[:1+random.IntN(maxCrowded)]}
+		size := crowdSizes[t.Kind]
+		t.Count = size[0] + random.IntN(size[1]-size[0]+1)
+		if t.Kind == scenario.Flood {
+			t.Traffic = scenario.FloodTraffic[random.IntN(len(scenario.FloodTraffic))]
+		}
+		crowds = append(crowds, t)
+	}
+	return crowds
+}
+
 // countDestinations returns the number of destinations in a scenario.
 func countDestinations(s *scenario.Scenario) int {
 	n := 0
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -87,6 +87,9 @@
 		result.Findings = append(result.Findings, v.String())
 	}
 	result.Findings = append(result.Findings, hooks.clients.findings...)
+	if result.NeglectedClients > 0 {
+		result.Findings = append(result.Findings, fmt.Sprintf("crowds: %d connections got neither an answer nor their end in time", result.NeglectedClients))
+	}
 	result.Findings = append(result.Findings, slowStarts(journal)...)
 	logFindings, stalls, err := readLogs(dir, s.Dispatchers.Count)
 	result.Findings = append(result.Findings, logFindings...)
@@ -100,6 +103,9 @@
 // describeTrouble describes a planned fault in one line; times are in seconds.
 func describeTrouble(trouble scenario.Trouble) string {
 	text := fmt.Sprintf("%6.2f s  %-9s for %.2f", trouble.At, trouble.Kind, trouble.Duration)
+	if trouble.IsCrowd() {
+		text += fmt.Sprintf(" clients %d %s", trouble.Count, trouble.Traffic)
+	}
 	if len(trouble.Dispatchers) > 0 {
 		text += fmt.Sprintf(" dispatchers %v", trouble.Dispatchers)
 	}
