--- a/seglog/seglog.go
+++ b/seglog/seglog.go
@@ -209,7 +209,7 @@
 }
 
 // fillBytes is how much of a new file is written at a time.
-const fillBytes = 64 << 10
+const fillBytes = 128 << 10
 
 // fillFreeSegment writes a segment without records, so that its file has all of its size.
 func fillFreeSegment(f disk.File, size int) error {
