Mend: the ledger's room counts names, which clients choose, and not bodies alone

Cause: the ledger was full. HasRoom went by the body and 1 KB, whatever the ID, tenant and key, and the space charged for later records left out the ID that each of them has. Mend: room is asked for all texts, and each notification is charged four times its ID for its later records.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,7 +31,7 @@
 type Gateway struct {
 	scheduler      *decide.Scheduler
 	directory      *directory.Directory
-	hasRoom        func(body int) bool        // whether the ledger has room for a message with a body of that many bytes
+	hasRoom        LedgerRoom
 	separateRoutes map[string]bool            // by kind: whether each endpoint is a route of its own
 	batchSize      map[string]int             // by kind: the maximum number of messages in a call
 	dialTimeout    float64                    // maximum time to establish a connection
@@ -74,10 +74,12 @@
 	hold        *admission.Hold // the room that its ID takes
 }
 
-// New returns a Gateway without messages. hasRoom reports whether the ledger has room for a message with a body of that
-// many bytes. By kind of endpoint, separateRoutes says whether each endpoint is a route of its own, and batchSize how
+// LedgerRoom reports whether the ledger has room for a message whose body and texts have the given size, with an ID of the given length.
+type LedgerRoom func(contentBytes, idBytes int) bool
+
+// New returns a Gateway without messages. By kind of endpoint, separateRoutes says whether each endpoint is a route of its own, and batchSize how
 // many messages may share a call. dialTimeout limits the time to establish a connection.
-func New(scheduler *decide.Scheduler, dir *directory.Directory, hasRoom func(int) bool, separateRoutes map[string]bool,
+func New(scheduler *decide.Scheduler, dir *directory.Directory, hasRoom LedgerRoom, separateRoutes map[string]bool,
 	batchSize map[string]int, dialTimeout float64) *Gateway {
 	g := &Gateway{scheduler: scheduler, directory: dir, hasRoom: hasRoom, separateRoutes: separateRoutes, batchSize: batchSize,
 		dialTimeout: dialTimeout, pending: map[string]*pendingMessage{}, idleConns: map[string][]*push.Conn{},
@@ -269,7 +271,7 @@
 		g.emit(Answer{m.ID, e.Respond, Reply{Accepted: true}})
 		return false
 	}
-	arrival := permit.Arrival{IDInUse: state == idInUse, PushesStopped: g.pushesStopped, LedgerRoom: g.hasRoom(len(m.Body))}
+	arrival := permit.Arrival{IDInUse: state == idInUse, PushesStopped: g.pushesStopped, LedgerRoom: g.hasRoom(m.Size(), len(m.ID))}
 	if denial := permit.Accept(arrival); denial != permit.Granted {
 		g.emit(Answer{m.ID, e.Respond, Reply{Reason: refusalReasons[denial]}})
 		return false
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -43,7 +43,7 @@
 		decide.Routes{SeparateKinds: separateRoutes},
 		decide.Recovery{InitialCapacityShare: 0.2, WarmUp: 10, OverloadFactor: 2, OverloadSpan: 2, Dispatchers: 2},
 		decide.PushPolicy{MaxPushes: 8, KeyCooldown: 1, Tick: 0.005, IdleTimeout: 10}, decide.TenantQuotas{}, false)
-	f.gateway = gateway.New(scheduler, dir, func(int) bool { return f.hasRoom }, separateRoutes, batchSize, 1.5)
+	f.gateway = gateway.New(scheduler, dir, func(int, int) bool { return f.hasRoom }, separateRoutes, batchSize, 1.5)
 	return f
 }
 
--- a/gateway/recovery_test.go
+++ b/gateway/recovery_test.go
@@ -29,7 +29,7 @@
 			decide.Capacity{MaxCalls: 40, MaxHeld: 90}, decide.Routes{},
 			decide.Recovery{InitialCapacityShare: 0.2, WarmUp: 10, OverloadFactor: 2, OverloadSpan: 2, Dispatchers: 34},
 			decide.PushPolicy{MaxPushes: 8, Tick: 0.005, IdleTimeout: 10}, decide.TenantQuotas{}, false)
-		g := gateway.New(scheduler, dir, func(int) bool { return true }, nil, nil, 1.5)
+		g := gateway.New(scheduler, dir, func(int, int) bool { return true }, nil, nil, 1.5)
 		checker := invariant.NewRecoveryChecker(counters)
 		g.SetRecoveryChecker(checker)
 		if ignored {
--- a/ledger/crash_test.go
+++ b/ledger/crash_test.go
@@ -80,7 +80,7 @@
 		if h.random.IntN(8) == 0 {
 			bodyBytes = 2000 + h.random.IntN(4000)
 		}
-		if !h.ledger.HasRoom(bodyBytes) {
+		if !h.ledger.HasRoom(bodyBytes, len(id)) {
 			return nil
 		}
 		h.expected[id] = &expectation{order: h.lastNumber}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -29,6 +29,7 @@
 	minSegments         = 8        // smallest number of segments that the ledger works with
 	reservedFiles       = 2        // free files kept so that pending notifications can be completed while the disk is full
 	maxFillRatio        = 0.65     // part of the capacity, less the reserved and the newest segments, for pending notifications
+	laterRecords        = 4        // records that a notification has after it was accepted: start and end of a call, notice, end
 	laterRecordsBytes   = 256      // allowance for the later records of a notification, without IDs and endpoints
 )
 
@@ -141,17 +142,19 @@
 	}
 }
 
-// HasRoom reports whether there is space for a new notification with a body of the given size and its later records.
-func (l *Ledger) HasRoom(bodyBytes int) bool {
-	const otherFieldsBytes = 1024 // allowance for the fields of a message other than the body
+// HasRoom reports whether there is space for a new notification whose body and texts have the given size, with an ID of the given length,
+// and for its later records.
+func (l *Ledger) HasRoom(contentBytes, idBytes int) bool {
+	const otherFieldsBytes = 1024 // allowance for the fields of a message that are set later
+	recordBytes := contentBytes + otherFieldsBytes
 	usableSegments := l.log.MaxFiles() - reservedFiles - 1
-	return l.log.Fits(bodyBytes+otherFieldsBytes) && float64(l.liveBytes+l.chargedBytes(bodyBytes+otherFieldsBytes)) <= maxFillRatio*float64(usableSegments*l.segmentCapacity)
+	return l.log.Fits(recordBytes) && float64(l.liveBytes+l.chargedBytes(recordBytes, idBytes)) <= maxFillRatio*float64(usableSegments*l.segmentCapacity)
 }
 
 // chargedBytes returns the space that an Accepted record of the given size is charged for. Records do not span segments,
-// so it is the segment capacity divided by the number of such notifications that fit in a segment.
-func (l *Ledger) chargedBytes(recordBytes int) int {
-	recordsPerSegment := l.segmentCapacity / (recordBytes + seglog.RecordOverhead + laterRecordsBytes)
+// so it is the segment capacity divided by the number of such notifications that fit in a segment. Each later record has the ID.
+func (l *Ledger) chargedBytes(recordBytes, idBytes int) int {
+	recordsPerSegment := l.segmentCapacity / (recordBytes + seglog.RecordOverhead + laterRecordsBytes + laterRecords*idBytes)
 	return l.segmentCapacity / max(1, recordsPerSegment)
 }
 
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -102,7 +102,7 @@
 	pendingIDs, maxUsage := []string{}, int64(0)
 	for i := range 400 {
 		id := fmt.Sprint(i)
-		for !l.HasRoom(20 << 10) {
+		for !l.HasRoom(20<<10, len(id)) {
 			_ = l.Write(ledger.Record{Kind: ledger.Completed, ID: pendingIDs[0]})
 			pendingIDs = pendingIDs[1:]
 		}
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -105,7 +105,7 @@
 		r.AcceptedSeq = l.lastAcceptedSeq + 1
 	}
 	l.lastAcceptedSeq = max(l.lastAcceptedSeq, r.AcceptedSeq)
-	p := &Pending{Message: &m, acceptedSeq: r.AcceptedSeq, chargedBytes: l.chargedBytes(recordBytes)}
+	p := &Pending{Message: &m, acceptedSeq: r.AcceptedSeq, chargedBytes: l.chargedBytes(recordBytes, len(r.ID))}
 	l.pending[r.ID] = p
 	l.liveBytes += p.chargedBytes
 	l.addToSegment(p, segment)
