Mend: a request that waited behind others on its connection has less time left

Cause: the time of a request began when it was read, also where requests before it on the connection were being taken on meanwhile. Mend: what was read without waiting may have come since the socket was last empty; that much, up to the 0.4 s that a client waits, is taken off its time.

--- a/cmd/orchiddrift/lab.go
+++ b/cmd/orchiddrift/lab.go
@@ -46,6 +46,7 @@
 	lengthSeconds, rate   float64 // rate is in notifications per second
 	closedLoopConnections int
 	profile               bool
+	program               string // the program that runs a dispatcher; "" for this one
 }
 
 func newLabRunCommand() *cobra.Command {
@@ -73,6 +74,7 @@
 	flags.StringVar(&f.stateDir, "state", "", "folder in which to create the dispatchers' state folders")
 	flags.BoolVar(&f.direct, "straight", false, "submit directly to the partners, to measure without a dispatcher")
 	flags.StringVar(&f.plantedRule, "planted", "none", "replace the dispatcher by one that violates this rule on purpose; \"\" for one that violates none")
+	flags.StringVar(&f.program, "program", "", "program that runs a dispatcher, in place of this one: bin/orchiddriftd as it is deployed")
 	flags.BoolVar(&f.profile, "profile", false, "with --keep: write a CPU profile of each dispatcher beside its log")
 	flags.BoolVarP(&f.quiet, "quiet", "q", false, "print no progress")
 	return command
@@ -101,6 +103,12 @@
 		return asFailure(err)
 	}
 	command := fleet.Command{Path: executable, Args: []string{"run"}, CPUProfile: f.profile}
+	if f.program != "" {
+		if f.profile || f.plantedRule != "none" {
+			return errors.New("--program goes with neither --profile nor --planted")
+		}
+		command = fleet.Command{Path: f.program}
+	}
 	if f.plantedRule != "none" {
 		command.Args = []string{"lab", "planted", f.plantedRule}
 	}
--- a/intake/client.go
+++ b/intake/client.go
@@ -52,6 +52,8 @@
 	pipelined            bool             // further complete requests were read after the current one
 	handledRequests      int              // number of requests that were read completely
 	heardAt              time.Time        // when it was accepted, or bytes were last read or written
+	emptyAt              time.Time        // when the socket was last seen empty; only the goroutine that reads uses it, as arrivedAfter
+	arrivedAfter         time.Time        // the bytes that were read last arrived after that; zero if that is not known
 	readDelay            time.Duration    // how long reads of the current request have failed; only the goroutine that reads uses it
 	answered             answeredRequests // only the goroutine that serves the connection uses it, and the next four fields
 	ahead                readAhead
@@ -64,7 +66,7 @@
 
 // newClientConn returns the connection of a client that was accepted by a listener.
 func newClientConn(listener *limitListener, conn net.Conn) *clientConn {
-	c := &clientConn{Conn: conn, listener: listener, calls: sock.HostCalls{}, heardAt: time.Now(), account: &admission.Client{}}
+	c := &clientConn{Conn: conn, listener: listener, calls: sock.HostCalls{}, heardAt: time.Now(), emptyAt: time.Now(), account: &admission.Client{}}
 	if s, ok := conn.(interface{ Calls() sock.Calls }); ok {
 		c.calls = s.Calls()
 	}
--- a/intake/client_io.go
+++ b/intake/client_io.go
@@ -81,10 +81,16 @@
 	}
 }
 
-// arrivalDelay returns how long the current request may have waited for this process, in seconds: its connection to be accepted, or
-// its bytes to be read, while calls failed. The client has left after clientPatience.
+// minBacklogTime is the time up to which a request counts as read when it came.
+const minBacklogTime = 5 * time.Millisecond
+
+// arrivalDelay returns how long the current request may have waited for this process, in seconds: its connection to be accepted, its
+// bytes to be read while calls failed, or requests before it on the connection to be answered. The client has left after clientPatience.
 func (c *clientConn) arrivalDelay() float64 {
 	delay := c.readDelay
+	if waited := time.Since(c.arrivedAfter); !c.arrivedAfter.IsZero() && waited > minBacklogTime {
+		delay += waited
+	}
 	if isFirstRequest := c.handledRequests <= 1; isFirstRequest {
 		delay += c.queuedFor
 	}
@@ -145,6 +151,7 @@
 	buffer []byte
 	n      int
 	err    error
+	waited bool // there was nothing to read at first
 }
 
 // setUpAttempts creates the functions that rawConn calls on its descriptor, once for all reads and writes. They report whether the
@@ -160,6 +167,7 @@
 		if c.reading.buffer == nil && c.reading.n == 0 {
 			c.ahead.release()
 		}
+		c.noteBacklog(len(buffer))
 		return !errors.Is(c.reading.err, syscall.EAGAIN)
 	}
 	c.tryWrite = func(fd uintptr) bool {
@@ -169,6 +177,22 @@
 	}
 }
 
+// noteBacklog records, after a read into a buffer of the given size, since when the bytes that were read may have waited in the socket,
+// and whether it is empty now. Bytes that were waited for have just come.
+func (c *clientConn) noteBacklog(size int) {
+	now := time.Now()
+	if errors.Is(c.reading.err, syscall.EAGAIN) {
+		c.reading.waited = true
+		return
+	}
+	if c.arrivedAfter = c.emptyAt; c.reading.waited {
+		c.arrivedAfter = now
+	}
+	if c.reading.n < size {
+		c.emptyAt = now
+	}
+}
+
 // readUnlessClosed reads the bytes that have arrived, unless the connection is closed for reading.
 func (c *clientConn) readUnlessClosed(fd int, b []byte) (int, error) {
 	c.listener.lock.Lock()
--- a/intake/left_test.go
+++ b/intake/left_test.go
@@ -65,3 +65,38 @@
 		})
 	}
 }
+
+// Guards against a message that gets its final answer too late because its request waited behind others on its connection: the time that it
+// may have waited is taken off its time, while a request that comes alone keeps all of its own.
+func TestTimeOfRequestsThatWaited(t *testing.T) {
+	const wait = 150 * time.Millisecond
+	release, started := make(chan struct{}), make(chan gateway.Arrived, 9)
+	ts, _ := startSlow(t, release)
+	ts.submit = func(e gateway.Event) {
+		arrived := e.(gateway.Arrived)
+		started <- arrived
+		if arrived.Message.ID == "a1" {
+			time.Sleep(wait)
+		}
+		arrived.Respond(gateway.Reply{Accepted: true})
+	}
+	conn := ts.dial(t)
+	fmt.Fprint(conn, requestWithID("a1"))
+	first := <-started
+	fmt.Fprint(conn, requestWithID("a2")) // while the first one is being taken on
+	second := <-started
+	readResponse(t, conn)
+	time.Sleep(200 * time.Millisecond)
+	fmt.Fprint(conn, requestWithID("a3"))
+	third := <-started
+	const now, budget = 1000, 0.48
+	for id, c := range map[string]struct{ got, least, most float64 }{
+		"a1": {first.Message.ExpiresAt, now + budget - 0.05, now + budget},
+		"a2": {second.Message.ExpiresAt, now + budget - 0.4, now + budget - wait.Seconds()},
+		"a3": {third.Message.ExpiresAt, now + budget - 0.05, now + budget},
+	} {
+		if c.got < c.least || c.got > c.most {
+			t.Errorf("%s has time until %.3f, want %.3f to %.3f", id, c.got, c.least, c.most)
+		}
+	}
+}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -45,6 +45,40 @@
 // lists, faults of partners, floods of idle connections, and a plan with thousands of endpoints.
 var shortSeeds = []uint64{5, 6, 9, 10, 571004, 572001}
 
+// crowdSeeds lists the seeds of TestSoakWithCrowds: all kinds of crowds, with kills, restarts and series of signals.
+var crowdSeeds = []uint64{770004, 770021, 770023}
+
+// Guards against a dispatcher that passes its memory limit, ends, neglects a client or breaks a rule because crowds of bad clients come
+// while processes are killed and restarted and partners fail. Findings do not count if the host was too busy.
+func TestSoakWithCrowds(t *testing.T) {
+	seen := map[string]bool{}
+	for _, seed := range crowdSeeds {
+		r, err := Run(context.Background(), seed, 6, Options{Command: dispatcherCommand("child"), OffsetClocks: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		plan, err := newPlan(seed, 6)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, trouble := range plan.Troubles {
+			seen[trouble.Kind] = true
+		}
+		for _, text := range r.Findings {
+			if len(r.UnplannedStalls) > 0 {
+				t.Logf("seed %d, host too busy for the finding to count: %s", seed, text)
+				continue
+			}
+			t.Errorf("seed %d: %s", seed, text)
+		}
+	}
+	for _, kind := range append([]string{scenario.Kill, scenario.Restart, scenario.SignalSeries}, crowdKinds...) {
+		if !seen[kind] {
+			t.Errorf("no plan has %s", kind)
+		}
+	}
+}
+
 // Runs short soaks: overlapping random faults must cause no findings. Findings do not count if the host was too busy.
 func TestSoak(t *testing.T) {
 	for _, seed := range shortSeeds {
