--- a/lab/crowd_test.go
+++ b/lab/crowd_test.go
@@ -99,8 +99,8 @@
 		t.Fatal(err)
 	}
 	good := goodClientsOf(j)
-	t.Logf("peak %.1f MB, at rest %.1f MB, %.0f descriptors, good clients: %+v", float64(r.Dispatchers[0].PeakBytes)/1e6,
-		float64(r.Dispatchers[0].IdleBytes)/1e6, float64(r.Dispatchers[0].PeakDescriptors), good)
+	t.Logf("peak %.1f MB, at rest %.1f MB, %.0f descriptors, good clients: %+v; %s", float64(r.Dispatchers[0].PeakBytes)/1e6,
+		float64(r.Dispatchers[0].IdleBytes)/1e6, float64(r.Dispatchers[0].PeakDescriptors), good, r.VoidReason)
 	return r, j
 }
 
