Mend: refused requests make room first, few evicted connections hold descriptors

Cause: a connection whose large request had been refused, and whose rest was being dropped, counted as busy while bytes stood in its socket, so that new connections, and unused ones that had just been accepted, were closed in its place. Mend: such a connection may be evicted at any time, as its client has its answer, and goes before others. TestRefusedRequestsMakeRoom passes also without the order of eviction.

--- a/intake/client.go
+++ b/intake/client.go
@@ -41,11 +41,13 @@
 	listener             *limitListener
 	readClosed           bool             // closed for reading by this side
 	closed               bool             // Close was called
+	evicted              bool             // it was closed to make room
 	evictedDuringRequest bool             // evicted with a request partly or completely read; a complete one is still answered
 	reason               closeReason      // "" while there is no reason to close the connection
 	requestStarted       bool             // bytes of the current request were read
 	requestComplete      bool             // the current request was read completely and passed to the handler
 	responded            bool             // the current request was answered: the next bytes belong to another one
+	refused              bool             // the current request was refused, and the rest of it is being dropped
 	servedBefore         bool             // a request on this connection was answered
 	lastActivity         int              // limitListener.activityCount at the accept or the last response
 	requestID            string           // of the last request that was read completely
@@ -142,7 +144,7 @@
 // state returns what decides whether the connection may be closed. The caller holds the lock.
 func (c *clientConn) state() permit.ClientConn {
 	return permit.ClientConn{ReadClosed: c.readClosed, EvictedMidway: c.evictedDuringRequest, RequestStarted: c.requestStarted,
-		RequestComplete: c.requestComplete, Responded: c.responded, Pipelined: c.pipelined,
+		RequestComplete: c.requestComplete, Responded: c.responded, Refused: c.refused, Pipelined: c.pipelined,
 		ClientGone: c.reason == closedByClient, SilentFor: time.Since(c.heardAt)}
 }
 
@@ -204,6 +206,13 @@
 	return permit.HandOn(c.state()) == permit.Granted, c.evictedDuringRequest || c.listener.crowded()
 }
 
+// setRefused records whether the current request was refused and the rest of it is being dropped.
+func (c *clientConn) setRefused(refused bool) {
+	c.listener.lock.Lock()
+	defer c.listener.lock.Unlock()
+	c.refused = refused
+}
+
 // setPipelined records whether further complete requests were read after the one being answered. They would get no response if the
 // connection were closed after the response to this one.
 func (c *clientConn) setPipelined(pipelined bool) {
--- a/intake/clients.go
+++ b/intake/clients.go
@@ -21,6 +21,9 @@
 	keepAliveDivisor = 3
 	// lingerDivisor sets how many connections, maxConns/lingerDivisor but at least one, may linger besides the open ones.
 	lingerDivisor = 8
+	// evictingDivisor sets how many evicted connections, maxConns/evictingDivisor but at least one, may still hold their descriptor: with
+	// more, none is evicted for a moment, so that the next ones wait to be accepted.
+	evictingDivisor = 8
 	// lingerTimeout is the longest time that a connection lingers.
 	lingerTimeout = 500 * time.Millisecond
 	// retryDelay is the pause after a failed accept, and between two checks of the connections while the server stops.
@@ -42,6 +45,7 @@
 	open             map[*clientConn]bool // accepted connections that are neither closed nor evicted
 	establishedCount int                  // open connections that have sent a complete request
 	lingeringCount   int                  // connections, not among the open ones, that wait for their client to close
+	evictingCount    int                  // evicted connections that still hold their descriptor
 	activityCount    int                  // number of accepted connections and responses; source of clientConn.lastActivity
 	stopping         bool                 // the server is stopping: any number of connections may linger
 	accepting        bool                 // connections that are set up may still have to be accepted
@@ -163,11 +167,16 @@
 // request were read from it, it only interrupts reading, and the HTTP server closes the connection.
 func (l *limitListener) evictOne(minSilence time.Duration) bool {
 	l.lock.Lock()
-	victim := l.findEvictable(minSilence)
+	var victim *clientConn
+	if l.evictingCount < max(1, l.maxConns/evictingDivisor) {
+		victim = l.findEvictable(minSilence)
+	}
 	if victim == nil {
 		l.lock.Unlock()
 		return false
 	}
+	victim.evicted = true
+	l.evictingCount++
 	victim.markReadClosed(evictedForRoom)
 	l.remove(victim)
 	midRequest := victim.requestStarted
@@ -195,9 +204,13 @@
 	return victim
 }
 
-// evictBefore reports whether c is to be evicted rather than other: one that never sent a complete request before one that did, else
+// evictBefore reports whether c is to be evicted rather than other: one whose request was refused before one that was not, then one that
+// never sent a complete request before one that did, else
 // the one that has been idle for longer. The caller holds the lock.
 func (c *clientConn) evictBefore(other *clientConn) bool {
+	if c.refused != other.refused {
+		return c.refused
+	}
 	if c.servedBefore != other.servedBefore {
 		return !c.servedBefore
 	}
@@ -302,4 +315,7 @@
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	l.remove(c)
+	if c.evicted {
+		l.evictingCount--
+	}
 }
--- a/intake/memory_test.go
+++ b/intake/memory_test.go
@@ -193,3 +193,39 @@
 		t.Errorf("%d series, %d before", after, before)
 	}
 }
+
+// Guards against new connections that are closed, or unused ones that are evicted, while clients send the bodies of requests that were
+// refused: those have their answer and make room first.
+func TestRefusedRequestsMakeRoom(t *testing.T) {
+	ts, _ := serveWithRequests(t, 0)
+	request := requestWithBody("large", 60_000, false)
+	var refused []net.Conn
+	for range 10 { // as many as the server holds
+		conn := ts.dial(t)
+		fmt.Fprint(conn, request[:20_000])
+		if resp := readResponse(t, conn); resp.StatusCode != http.StatusServiceUnavailable {
+			t.Fatal(resp.StatusCode)
+		}
+		refused = append(refused, conn)
+	}
+	start := time.Now()
+	for i := range 5 {
+		conn := ts.dial(t)
+		time.Sleep(10 * time.Millisecond) // the next one finds it unused
+		defer func() {
+			fmt.Fprint(conn, requestWithID(fmt.Sprint("good", i)))
+			if resp := readResponse(t, conn); resp.StatusCode != http.StatusAccepted {
+				t.Errorf("connection %d: status %d", i, resp.StatusCode)
+			}
+		}()
+	}
+	if took := time.Since(start); took > clientPatience {
+		t.Errorf("five connections took %v", took)
+	}
+	for _, conn := range refused[:5] {
+		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+		if _, err := conn.Read(make([]byte, 1)); err == nil {
+			t.Error("a connection with a refused request was answered once more")
+		}
+	}
+}
--- a/intake/serve.go
+++ b/intake/serve.go
@@ -157,7 +157,7 @@
 		return false
 	}
 	resp.close = resp.close || closeAfter || r.head.closes || r.server.closeAfterResponse.Load()
-	if err := c.writeResponse(resp); err != nil || r.head.expectContinue || r.reader.discard() != nil {
+	if err := c.writeResponse(resp); err != nil || r.head.expectContinue || !r.dropBody() {
 		return false
 	}
 	r.server.listener.requestServed(c)
@@ -165,6 +165,15 @@
 	return !resp.close
 }
 
+// dropBody reads and drops the rest of a request that was refused, and reports whether that came to its end. Meanwhile the connection may
+// make room for another one.
+func (r *request) dropBody() bool {
+	r.conn.setRefused(true)
+	err := r.reader.discard()
+	r.conn.setRefused(false)
+	return err == nil
+}
+
 // refuseInvalid answers a request whose message is not valid.
 func (r *request) refuseInvalid(id string, err error) (again bool) {
 	r.server.logBadRequest(r.conn, id, err)
--- a/lab/crowd_test.go
+++ b/lab/crowd_test.go
@@ -143,6 +143,9 @@
 		t.Run(name, func(t *testing.T) {
 			r, j := playCrowd(t, crowdScenario(test.memoryMB, test.sockets, test.troubles...))
 			checkRules(t, r)
+			if descriptors := r.Dispatchers[0].PeakDescriptors; descriptors > test.sockets {
+				t.Errorf("%d descriptors open, at most %d allowed", descriptors, test.sockets)
+			}
 			if r.NeglectedClients > 0 {
 				t.Errorf("%d connections of the crowd got neither an answer nor their end in time", r.NeglectedClients)
 			}
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -29,6 +29,7 @@
 	RequestStarted  bool          // bytes of the current request were read
 	RequestComplete bool          // the current request was read completely
 	Responded       bool          // the current request was answered
+	Refused         bool          // the current request was answered with a refusal before it was read completely
 	Pipelined       bool          // complete requests were read behind the current one
 	ClientGone      bool          // the client has closed or reset the connection
 	SilentFor       time.Duration // since it was accepted, or a byte was read from it or written to it
@@ -57,11 +58,14 @@
 }
 
 // Evict asks: may the connection make room for another, because no whole request was read from it, none stands in its socket, and
-// it has been silent for so long that none is on its way? An incomplete request may be cut off.
+// it has been silent for so long that none is on its way? An incomplete request may be cut off, and so may the rest of one that was
+// refused: its client has its answer.
 func Evict(c ClientConn, minSilence time.Duration, unread func() Unread) Denial {
 	switch {
 	case c.ReadClosed:
 		return AlreadyClosed
+	case c.Refused:
+		return Granted
 	case c.RequestStarted && (c.RequestComplete || c.Responded):
 		return RequestInProgress
 	case c.SilentFor < minSilence:
--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -26,6 +26,8 @@
 		{"evict, bytes in the socket", Evict(ClientConn{}, 0, unread(SomeUnread)), RequestUnread},
 		{"evict, closed", Evict(ClientConn{ReadClosed: true}, 0, unread(NoneUnread)), AlreadyClosed},
 		{"evict, bytes may come", Evict(ClientConn{SilentFor: time.Second}, 2*time.Second, unread(NoneUnread)), RequestOnItsWay},
+		{"evict, refused and still sending", Evict(ClientConn{RequestStarted: true, Refused: true}, time.Second, unread(SomeUnread)), Granted},
+		{"evict, refused and closed", Evict(ClientConn{ReadClosed: true, Refused: true}, 0, unread(NoneUnread)), AlreadyClosed},
 		{"evict, silent for long", Evict(ClientConn{SilentFor: 2 * time.Second}, 2*time.Second, unread(NoneUnread)), Granted},
 		{"end, answered", End(ClientConn{RequestComplete: true, Responded: true}), Granted},
 		{"end, unanswered", End(ClientConn{RequestComplete: true}), RequestUnanswered},
