--- a/ledger/long_names_test.go
+++ b/ledger/long_names_test.go
@@ -5,23 +5,13 @@
 	"strings"
 	"testing"
 
-	"orchiddrift/disk"
 	"orchiddrift/ledger"
 )
 
 // Guards against a ledger that takes on more than it can end: messages with long IDs, keys and tenants, which clients choose, fill it as
 // far as HasRoom allows, and then each of them can still be pushed, given up and completed.
 func TestLongNamesLeaveRoomForTheEnd(t *testing.T) {
-	folder, err := disk.OpenDir(t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer folder.Close()
-	l, _, _, err := ledger.Open(folder, ledger.Options{LimitBytes: 3_000_000})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
+	l := openEmpty(t, 3_000_000)
 	for _, nameBytes := range []int{16, 800, 1300} {
 		var ids []string
 		for n := 0; ; n++ {
