--- a/intake/serve.go
+++ b/intake/serve.go
@@ -160,11 +160,16 @@
 	if err := c.writeResponse(resp); err != nil || r.head.expectContinue || !r.dropBody() {
 		return false
 	}
-	r.server.listener.requestServed(c)
-	c.setPipelined(requestSize(c.ahead.bytes()) > 0)
+	r.finish()
 	return !resp.close
 }
 
+// finish records that a request is over whose connection goes on, and whether further requests were read behind it.
+func (r *request) finish() {
+	r.server.listener.requestServed(r.conn)
+	r.conn.setPipelined(requestSize(r.conn.ahead.bytes()) > 0)
+}
+
 // dropBody reads and drops the rest of a request that was refused, and reports whether that came to its end. Meanwhile the connection may
 // make room for another one.
 func (r *request) dropBody() bool {
@@ -250,8 +255,7 @@
 	r.server.exchanges.Unsolicited(exchange.Unsolicited{Peer: exchange.Client, Addr: c.RemoteAddr().String(), Moment: exchange.RequestCopy,
 		Request: id, After: after})
 	_, _ = c.requestReceived(id)
-	r.server.listener.requestServed(c)
-	c.setPipelined(requestSize(c.ahead.bytes()) > 0)
+	r.finish()
 	return true
 }
 
