Red: a process passes its limit by the kernel's memory for its sockets

What callers saw: a process over its memory limit, under a crowd.

The laboratory judges all memory now: resident, what the kernel holds for each socket of the process and for those in its accept queue (read by sock_diag, sampled each 0.1 s), and the files of the folder.

--- a/lab/crowd/crowd.go
+++ b/lab/crowd/crowd.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -131,6 +132,12 @@
 		v.flood(ctx, conn)
 	case scenario.LeaveUnread:
 		v.leave(ctx, conn)
+	case scenario.PipelinedLarge:
+		v.pipelineLarge(conn)
+	case scenario.AnswersUnread:
+		v.writeUnread(ctx, conn, v.unsoundRequests())
+	case scenario.MetricsFlood:
+		v.writeUnread(ctx, conn, []byte(strings.Repeat(metricsRequest, requestsPerWrite)))
 	}
 }
 
--- /dev/null
+++ b/lab/crowd/unread.go
@@ -0,0 +1,68 @@
+package crowd
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// pipelinedRequests is how many large requests a client sends one behind the other.
+	pipelinedRequests = 50
+	// requestsPerWrite is how many small requests a client that reads no answers writes at a time.
+	requestsPerWrite = 100
+	// metricsRequest asks for the metrics.
+	metricsRequest = "GET /_metrics HTTP/1.1\r\nHost: origin.svc\r\n\r\n"
+)
+
+// pipelineLarge sends large requests, one behind the other without a rest, and reads the answers meanwhile.
+func (v *visitor) pipelineLarge(conn net.Conn) {
+	_ = conn.SetDeadline(time.Now().Add(pipelinedRequests * answerTimeout))
+	var reading sync.WaitGroup
+	reading.Go(func() {
+		reader := bufio.NewReader(conn)
+		for closed := false; !closed; {
+			_ = conn.SetReadDeadline(time.Now().Add(answerTimeout))
+			_, closed = readAnswer(reader)
+		}
+		_ = conn.Close()
+	})
+	text := []byte(v.largeRequest(false))
+	for range pipelinedRequests {
+		if _, err := conn.Write(text); err != nil {
+			break
+		}
+	}
+	reading.Wait()
+}
+
+// unsoundRequests returns some small requests with messages of a class that does not exist.
+func (v *visitor) unsoundRequests() []byte {
+	var text strings.Builder
+	for range requestsPerWrite {
+		r := v.validRequest("")
+		r.topic = "nothing"
+		text.WriteString(r.text())
+	}
+	return []byte(text.String())
+}
+
+// writeUnread writes requests again and again at full speed and reads no answer, until the other side ends the connection. It records if that did not
+// happen although nothing could be written for endTimeout.
+func (v *visitor) writeUnread(ctx context.Context, conn net.Conn, requests []byte) {
+	for ctx.Err() == nil {
+		startedAt := time.Now()
+		_ = conn.SetWriteDeadline(startedAt.Add(endTimeout))
+		_, err := conn.Write(requests)
+		if os.IsTimeout(err) && ctx.Err() == nil && v.servedSince(startedAt) {
+			v.crowd.neglected.Add(1)
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- a/lab/crowd_test.go
+++ b/lab/crowd_test.go
@@ -99,8 +99,9 @@
 		t.Fatal(err)
 	}
 	good := goodClientsOf(j)
-	t.Logf("peak %.1f MB, at rest %.1f MB, %.0f descriptors, good clients: %+v; %s", float64(r.Dispatchers[0].PeakBytes)/1e6,
-		float64(r.Dispatchers[0].IdleBytes)/1e6, float64(r.Dispatchers[0].PeakDescriptors), good, r.VoidReason)
+	u := r.Dispatchers[0]
+	t.Logf("peak %.1f MB, at rest %.1f MB, %d sockets with %.1f MB, all memory %.1f MB, %d descriptors, good clients: %+v; %s", float64(u.PeakBytes)/1e6,
+		float64(u.IdleBytes)/1e6, u.PeakSockets, float64(u.PeakSocketBytes)/1e6, float64(u.PeakTotalBytes)/1e6, u.PeakDescriptors, good, r.VoidReason)
 	return r, j
 }
 
@@ -160,6 +161,37 @@
 	}
 }
 
+// Guards against a process that passes its limit by the memory that the kernel holds for its sockets, or neglects its usual clients,
+// because clients send faster than they are read or do not read their answers.
+func TestKernelMemoryInCrowds(t *testing.T) {
+	kills := []scenario.Trouble{{Kind: scenario.Kill, At: 1.5, Wait: 0.6}, {Kind: scenario.Kill, At: 2.4, Wait: 0.6}, {Kind: scenario.Kill, At: 3.3, Wait: 0.6}}
+	for name, test := range map[string]struct {
+		memoryMB float64
+		sockets  int
+		troubles []scenario.Trouble
+	}{
+		"pipelined large":              {32, 1024, []scenario.Trouble{crowd(scenario.PipelinedLarge, 341)}},
+		"pipelined large, few sockets": {32, 256, []scenario.Trouble{crowd(scenario.PipelinedLarge, 85)}},
+		"pipelined and half requests":  {48, 1024, []scenario.Trouble{crowd(scenario.PipelinedLarge, 170), crowd(scenario.HalfRequests, 171)}},
+		"pipelined large, killed":      {48, 1024, append([]scenario.Trouble{crowd(scenario.PipelinedLarge, 341)}, kills...)},
+		"answers unread":               {48, 1024, []scenario.Trouble{crowd(scenario.AnswersUnread, 341)}},
+		"metrics unread":               {64, 384, []scenario.Trouble{crowd(scenario.MetricsFlood, 60)}},
+		"metrics unread, many, killed": {64, 384, append([]scenario.Trouble{crowd(scenario.MetricsFlood, 600)}, kills...)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, j := playCrowd(t, crowdScenario(test.memoryMB, test.sockets, test.troubles...))
+			checkRules(t, r)
+			if r.NeglectedClients > 0 {
+				t.Errorf("%d connections of the crowd got neither an answer nor their end in time", r.NeglectedClients)
+			}
+			killed := slices.ContainsFunc(test.troubles, func(t scenario.Trouble) bool { return t.Kind == scenario.Kill })
+			if good := goodClientsOf(j); !killed && r.VoidReason == "" && (good.p99 > clientPatience || good.unanswered > 0 || good.refused > good.handIns/10) {
+				t.Errorf("good clients are answered late, refused or not answered: %+v", good)
+			}
+		})
+	}
+}
+
 // allCrowds returns crowds of all kinds that hold memory, each with a number of clients.
 func allCrowds(clients int) []scenario.Trouble {
 	return []scenario.Trouble{crowd(scenario.SlowWriters, clients), crowd(scenario.HalfRequests, clients), crowd(scenario.ManyFields, clients),
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -16,8 +16,6 @@
 	"syscall"
 	"time"
 
-	"github.com/prometheus/procfs"
-
 	"orchiddrift/lab/loop"
 	"orchiddrift/lab/record"
 	"orchiddrift/lab/scenario"
@@ -31,15 +29,6 @@
 	CPUProfile bool // each dispatcher writes a CPU profile beside its log
 }
 
-// Usage is the resource usage of a dispatcher, over all its processes.
-type Usage struct {
-	CPUSeconds      float64 `json:"cpu_s"`       // CPU time in seconds, without the start of each process
-	PeakBytes       int     `json:"peak_bytes"`  // largest resident memory, as the system keeps it for each process
-	IdleBytes       int     `json:"rest_bytes"`  // PeakBytes when last ready; memory without load only if never restarted
-	PeakDescriptors int     `json:"descriptors"` // most open file descriptors
-	PeakDiskBytes   int     `json:"disk_bytes"`  // largest size of its state directory, in whole blocks
-}
-
 // Fleet runs all dispatchers of a run.
 type Fleet struct {
 	world       *scenario.World
@@ -78,7 +67,7 @@
 const (
 	readyTimeout   = 10 * time.Second
 	stopTimeout    = 3700 * time.Millisecond // from SIGTERM to SIGKILL, as on the platform
-	sampleInterval = 200 * time.Millisecond  // between two samples of resource usage
+	sampleInterval = 100 * time.Millisecond  // between two samples of resource usage
 )
 
 // StateDir returns the lasting folder of a dispatcher in the folder of a run.
@@ -212,7 +201,7 @@
 	p.ready = true
 	f.recordEvent(p, record.Ready, "")
 	p.mu.Unlock()
-	f.sampleUsage(p)
+	f.sampleUsage(p, nil)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.usage.IdleBytes = max(p.usage.IdleBytes, p.usage.PeakBytes)
@@ -293,9 +282,7 @@
 	}
 	f.running.Go(func() {
 		for ctx.Err() == nil {
-			for _, p := range f.processes {
-				f.sampleUsage(p)
-			}
+			f.sampleAll()
 			sleep(ctx, sampleInterval)
 		}
 	})
@@ -396,59 +383,6 @@
 	f.running.Wait()
 }
 
-// sampleUsage samples the resource usage of a dispatcher, and records the first time that it exceeds a limit.
-func (f *Fleet) sampleUsage(p *process) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd == nil {
-		return
-	}
-	u := &p.usage
-	if proc, err := procfs.NewProc(p.cmd.Process.Pid); err == nil {
-		if stat, err := proc.Stat(); err == nil {
-			p.cpuSeconds = stat.CPUTime()
-		}
-		if status, err := proc.NewStatus(); err == nil {
-			u.PeakBytes = max(u.PeakBytes, int(status.VmHWM))
-		}
-		if n, err := proc.FileDescriptorsLen(); err == nil {
-			u.PeakDescriptors = max(u.PeakDescriptors, n)
-		}
-	}
-	diskBytes := 0
-	files, _ := os.ReadDir(p.stateDir) // an unreadable directory counts as empty
-	for _, file := range files {
-		if info, err := file.Info(); err == nil {
-			const blockSize = 512
-			diskBytes += int(info.Size()+blockSize-1) / blockSize * blockSize
-		}
-	}
-	u.PeakDiskBytes = max(u.PeakDiskBytes, diskBytes)
-	for i, resource := range []struct {
-		name    string
-		used    int
-		limitMB float64
-	}{{"memory", u.PeakBytes, f.world.Dispatchers.MemoryMB}, {"disk", u.PeakDiskBytes, f.world.Dispatchers.DiskMB}} {
-		if float64(resource.used) > resource.limitMB*1e6 && !p.limitExceeded[i] {
-			p.limitExceeded[i] = true
-			f.recordEvent(p, record.LimitExceeded, fmt.Sprintf("%s: %d bytes used, limit %.0f MB", resource.name, resource.used, resource.limitMB))
-		}
-	}
-}
-
-// Usage returns the resource usage of each dispatcher so far.
-func (f *Fleet) Usage() []Usage {
-	var list []Usage
-	for _, p := range f.processes {
-		p.mu.Lock()
-		u := p.usage
-		u.CPUSeconds += p.cpuSeconds - p.cpuAtReady
-		list = append(list, u)
-		p.mu.Unlock()
-	}
-	return list
-}
-
 // sleep waits for d and reports whether it passed before ctx was done.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/lab/report/text.go
+++ b/lab/report/text.go
@@ -72,8 +72,9 @@
 	row("planned to delivered", "p50 %s, p99 %s", formatSeconds(figures.DeliveredP50), formatSeconds(figures.DeliveredP99))
 	row("generator", "late by p50 %s, p99 %s, at most %s", formatSeconds(r.Lateness.P50), formatSeconds(r.Lateness.P99), formatSeconds(r.Lateness.Max))
 	for i, u := range r.Dispatchers {
-		row(fmt.Sprint("dispatcher ", i), "%.2f core seconds (%.0f us per accepted hand-in), %.1f MB (%.1f at rest), %d descriptors, state directory %.0f KB",
-			u.CPUSeconds, figures.CPUPerAccepted*1e6, float64(u.PeakBytes)/1e6, float64(u.IdleBytes)/1e6, u.PeakDescriptors, float64(u.PeakDiskBytes)/1e3)
+		row(fmt.Sprint("dispatcher ", i), "%.2f core seconds (%.0f us per accepted hand-in), %.1f MB (%.1f at rest), %d sockets with %.1f MB, all memory %.1f MB, %d descriptors, state directory %.0f KB",
+			u.CPUSeconds, figures.CPUPerAccepted*1e6, float64(u.PeakBytes)/1e6, float64(u.IdleBytes)/1e6, u.PeakSockets, float64(u.PeakSocketBytes)/1e6,
+			float64(u.PeakTotalBytes)/1e6, u.PeakDescriptors, float64(u.PeakDiskBytes)/1e3)
 	}
 	fmt.Fprintf(t, "\ntopic type\tplanned\tdelivered\tlate\tgiven up\tbenefit\tp50\tp99\tp99.9\n")
 	for _, topic := range r.Topics {
--- a/lab/scenario/check.go
+++ b/lab/scenario/check.go
@@ -8,7 +8,7 @@
 // troubleKinds lists all kinds of trouble. Those that affect partners come first, up to Drain.
 var troubleKinds = []string{RefuseConnections, Hang, FailCalls, SlowAnswers, LoseAnswers, ResetConnections, BreakReused, LateAnswers,
 	TruncateAnswers, CorruptAnswers, CloseAfterAnswer, CopyAnswers, StrayAnswers, RejectAll, ChangeLimit, Drain, Kill, Restart, Stall, ListDown, ListSlow, AgentCopies, AgentStrays, AgentLost, SignalSeries, MoveAgent, SameID, Surge, HotClient, BusyDisk,
-	SlowWriters, HalfRequests, ManyFields, WholeLarge, Flood, LeaveUnread}
+	SlowWriters, HalfRequests, ManyFields, WholeLarge, Flood, LeaveUnread, PipelinedLarge, AnswersUnread, MetricsFlood}
 
 // AffectsPartners reports whether the trouble affects the endpoints of destinations.
 func (t Trouble) AffectsPartners() bool {
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -189,6 +189,10 @@
 	WholeLarge   = "whole-large"   // they send large requests with such heads, one after another
 	Flood        = "flood"         // they send small requests at full speed, of the kind that sends names
 	LeaveUnread  = "leave-unread"  // they write many requests at once, read no answer and leave
+
+	PipelinedLarge = "pipelined-large" // they send large requests, one behind the other without a rest, and read the answers
+	AnswersUnread  = "answers-unread"  // they send small unsound requests at full speed and read no answer
+	MetricsFlood   = "metrics-flood"   // they ask for the metrics at full speed and read no answer
 )
 
 // What a flood sends.
@@ -234,7 +238,7 @@
 // IsCrowd reports whether the trouble is a crowd of bad clients.
 func (t Trouble) IsCrowd() bool {
 	switch t.Kind {
-	case SlowWriters, HalfRequests, ManyFields, WholeLarge, Flood, LeaveUnread:
+	case SlowWriters, HalfRequests, ManyFields, WholeLarge, Flood, LeaveUnread, PipelinedLarge, AnswersUnread, MetricsFlood:
 		return true
 	}
 	return false
