Mend: the kernel's memory for sockets is in the division and bounded by buffer sizes

What callers saw: a process over its memory limit under a crowd, resident memory far below it.

Cause: the budget ended at the process's edge. The kernel's buffers grow by what strangers send and do not read, up to the system's maxima, times connections, times the accept queue of 4,096; the division left no reserve (program, heap and folder were the limit to the byte), and a folder larger than its part was possible.

Change: package sock sets the sizes of both buffers on each listening socket before it listens, and on each it dials, which turns the kernel's growth off; writes are of 2 KB at most, as the kernel takes one as a whole (48 KB in a buffer of 4.6 KB, measured with SO_MEMINFO); the accept queue has a length from the division; what a closed connection's peer does not take is dropped after 3 s. The division counts clients' sockets, those that linger, those in the queue and those of calls, has a reserve of 1/32, caps the folder and, where memory is short, calls in flight.

--- a/admission/budget.go
+++ b/admission/budget.go
@@ -36,17 +36,22 @@
 		return true
 	}
 	a := &b.accounts[p]
-	now := a.reserved.Add(int64(bytes))
-	if now > a.capacity {
-		a.reserved.Add(-int64(bytes))
-		a.refused.Add(1)
-		if !a.full.Swap(true) {
-			b.observe(p, true)
-		}
-		return false
+	if a.reserve(bytes) {
+		return true
 	}
-	a.notePeak(now)
-	return true
+	a.refused.Add(1)
+	if !a.full.Swap(true) {
+		b.observe(p, true)
+	}
+	return false
+}
+
+// ReserveSpare reserves bytes for something that can be done without, and reports whether they fit. It is no refusal if they do not.
+func (b *Budget) ReserveSpare(p Purpose, bytes int) bool {
+	if b == nil {
+		return true
+	}
+	return b.accounts[p].reserve(bytes)
 }
 
 // Force reserves bytes for a purpose whether they fit or not. It is for what the process owes: what an earlier process took on.
@@ -69,6 +74,17 @@
 	}
 }
 
+// reserve reserves bytes and reports whether they fit.
+func (a *account) reserve(bytes int) bool {
+	now := a.reserved.Add(int64(bytes))
+	if now > a.capacity {
+		a.reserved.Add(-int64(bytes))
+		return false
+	}
+	a.notePeak(now)
+	return true
+}
+
 // observe tells the observer of a change.
 func (b *Budget) observe(p Purpose, full bool) {
 	if b.observer != nil {
--- a/appconfig/rules.go
+++ b/appconfig/rules.go
@@ -137,7 +137,8 @@
 		c.report(ruleStateFolder, "state", "state is empty")
 	}
 	c.checkRange("limits.cores", a.Limits.Cores, 0.05, 1024)
-	leastMemoryMB := admission.LeastMemoryMB(admission.Limits{DiskBytes: int(a.Limits.DiskMB * 1e6), Descriptors: a.Limits.Sockets, MaxMessages: a.Dispatcher.Held})
+	leastMemoryMB := admission.LeastMemoryMB(admission.Limits{DiskBytes: int(a.Limits.DiskMB * 1e6), Descriptors: a.Limits.Sockets, MaxMessages: a.Dispatcher.Held,
+		MaxCalls: a.Dispatcher.Slots})
 	c.checkRange("limits.memory_mb", a.Limits.MemoryMB, float64(leastMemoryMB), 1e6)
 	c.checkRange("limits.sockets", float64(a.Limits.Sockets), 64, 1e7)
 	c.checkRange("limits.disk_mb", a.Limits.DiskMB, 0.6, 1e6)
--- a/decide/recovery.go
+++ b/decide/recovery.go
@@ -8,6 +8,9 @@
 // KeyCooldown returns how long, in seconds, a key pauses after a push that may still run.
 func (s *Scheduler) KeyCooldown() float64 { return s.policy.KeyCooldown }
 
+// LimitCalls lowers the number of calls in flight to what the process has memory for.
+func (s *Scheduler) LimitCalls(most int) { s.capacity.MaxCalls = min(s.capacity.MaxCalls, most) }
+
 // OverloadSpan returns the time, in seconds, over which a returning destination must not get more calls than it can take.
 func (s *Scheduler) OverloadSpan() float64 { return s.recovery.OverloadSpan }
 
--- a/dispatcher/config.go
+++ b/dispatcher/config.go
@@ -94,7 +94,8 @@
 func (c *config) admissionLimits() admission.Limits {
 	const bytesPerMB = 1e6
 	return admission.Limits{MemoryBytes: int(c.Limits.MemoryMB * bytesPerMB), DiskBytes: int(c.Limits.DiskMB * bytesPerMB),
-		Descriptors: descriptorLimit(c.Limits.Sockets), MaxMessages: int(c.values.FloatOr("policy-limits.most-held", 0))}
+		Descriptors: descriptorLimit(c.Limits.Sockets), MaxMessages: int(c.values.FloatOr("policy-limits.most-held", 0)),
+		MaxCalls: int(c.values.FloatOr("family-info.max-calls", 0))}
 }
 
 // seed returns the scheduler's seed: the value of Seed if it consists of up to 16 hex digits, or else its hash.
--- a/dispatcher/memory.go
+++ b/dispatcher/memory.go
@@ -29,7 +29,8 @@
 		log.Info().Stringer("purpose", p).Msg("memory account has room again")
 	})
 	a.room = admission.NewRoom(cfg.division, a.budget)
-	log.Info().Int("limit", a.limitBytes).Int("heap", a.division.HeapBytes).Int("connections", a.division.MaxConnections).
+	log.Info().Int("limit", a.limitBytes).Int("heap", a.division.HeapBytes).Int("sockets", a.division.SocketBytes).
+		Int("folder", a.division.FolderBytes).Int("reserve", a.division.ReserveBytes).Int("connections", a.division.MaxConnections).Int("backlog", a.division.Backlog).Int("calls", a.division.MaxCalls).
 		Int("messages", a.division.MaxMessages).Ints("accounts", a.division.Bytes[:]).Msg("memory divided")
 	return a
 }
--- a/dispatcher/process.go
+++ b/dispatcher/process.go
@@ -51,6 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
+	parts.scheduler.LimitCalls(cfg.division.MaxCalls)
 	startup.enableLog(startup.log)
 	dir.Replace(cfg.Known.Endpoints())
 	p := &process{system: system, cfg: cfg, startup: startup, log: startup.log, parts: parts, errors: syserr.NewRecorder(startup.log),
@@ -114,7 +115,7 @@
 	if !p.cfg.values.ListOnDemand() {
 		p.agent.WatchForever(p.runner.Post)
 	}
-	ln, err := p.system.Listen(p.cfg.Listen)
+	ln, err := p.listen()
 	if err != nil && !isTransient(err) {
 		return err
 	}
@@ -138,13 +139,27 @@
 	}
 }
 
+// listen returns the listener for clients. A queue whose length cannot be set has the shortest.
+func (p *process) listen() (net.Listener, error) {
+	ln, err := p.system.Listen(p.cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	if queue, ok := ln.(interface{ SetBacklog(connections int) error }); ok {
+		if err := queue.SetBacklog(p.admission.division.Backlog); err != nil {
+			p.errors.Failed(syserr.Listen, p.cfg.Listen, err)
+		}
+	}
+	return ln, nil
+}
+
 // serve serves clients until a stop signal, and then carries out the stop. If ln is nil, it listens first: that may fail for some
 // seconds if the address is still in use, and pending notifications are pushed meanwhile.
 func (p *process) serve(ln net.Listener, stopLoop func(), fail func(error)) {
 	server := p.newServer()
 	var err error
 	if ln == nil {
-		err = p.startup.retry("listener", func() (err error) { ln, err = p.system.Listen(p.cfg.Listen); return err })
+		err = p.startup.retry("listener", func() (err error) { ln, err = p.listen(); return err })
 	}
 	switch {
 	case errors.Is(err, errStoppedDuringStartup):
--- a/dispatcher/system.go
+++ b/dispatcher/system.go
@@ -37,12 +37,7 @@
 		ClockSource: clock.SystemSource(),
 		OpenFolder:  func(path string) (StateFolder, error) { return disk.OpenDir(path) },
 		Listen:      func(address string) (net.Listener, error) { return sock.Listen(address, sock.HostCalls{}) },
-		Dial:        dialTCP,
-		DialAgent:   dialTCP,
+		Dial:        sock.Dial,
+		DialAgent:   sock.Dial,
 	}
 }
-
-// dialTCP connects to a TCP address.
-func dialTCP(address string, timeout time.Duration) (net.Conn, error) {
-	return net.DialTimeout("tcp", address, timeout)
-}
--- a/push/conn.go
+++ b/push/conn.go
@@ -14,6 +14,7 @@
 
 	"orchiddrift/admission"
 	"orchiddrift/exchange"
+	"orchiddrift/sock"
 	"orchiddrift/syserr"
 )
 
@@ -76,12 +77,10 @@
 // Dialer opens a TCP connection to an address within a timeout.
 type Dialer func(addr string, timeout time.Duration) (net.Conn, error)
 
-// Dial opens a connection to an endpoint with net.DialTimeout. The timeout is in seconds. If that fails, the Conn is nil and
+// Dial opens a connection to an endpoint with sock.Dial. The timeout is in seconds. If that fails, the Conn is nil and
 // the End says how; otherwise the End is Delivered.
 func Dial(addr string, timeout float64) (*Conn, End) {
-	return Dialer(func(addr string, timeout time.Duration) (net.Conn, error) {
-		return net.DialTimeout("tcp", addr, timeout)
-	}).Dial(addr, timeout)
+	return Dialer(sock.Dial).Dial(addr, timeout)
 }
 
 // Dial opens a connection to an endpoint with d. The timeout is in seconds. If that fails, the Conn is nil and the End says
--- a/sock/retry.go
+++ b/sock/retry.go
@@ -45,9 +45,20 @@
 	return n, err
 }
 
-// Write writes all of b. After an error that may pass it goes on with the rest. If that fails until the deadline, it returns the
-// error, so that the caller can tell a local failure from a peer that takes nothing.
+// Write writes all of b, at most MaxWrite bytes at a time. After an error that may pass it goes on with the rest. If that fails until
+// the deadline, it returns the error, so that the caller can tell a local failure from a peer that takes nothing.
 func (c *RetryingConn) Write(b []byte) (int, error) {
+	written := 0
+	for {
+		n, err := c.writePart(b[written:min(written+MaxWrite, len(b))])
+		if written += n; err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
+// writePart writes all of b, which the kernel may take as a whole.
+func (c *RetryingConn) writePart(b []byte) (int, error) {
 	written, err := c.Conn.Write(b)
 	if err == nil || !syserr.ConnMayPass(err) {
 		return written, err
@@ -67,6 +78,14 @@
 	return written, err
 }
 
+// Close closes the connection. What the other side does not take of it is dropped after unsentTimeout.
+func (c *RetryingConn) Close() error {
+	if raw, err := c.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { limitUnsent(int(fd)) })
+	}
+	return c.Conn.Close()
+}
+
 // newPause returns the pauses until the first of the deadlines that is set, or for maxRetry.
 func newPause(deadlines ...*atomic.Pointer[time.Time]) *syserr.Backoff {
 	for _, deadline := range deadlines {
--- a/sock/sock.go
+++ b/sock/sock.go
@@ -87,7 +87,7 @@
 
 // Listen returns a listener on a TCP address, whose system calls are those given.
 func Listen(address string, calls Calls) (*Listener, error) {
-	ln, err := net.Listen("tcp", address)
+	ln, err := listenTCP(address)
 	if err != nil {
 		return nil, err
 	}
@@ -100,7 +100,11 @@
 	if err != nil {
 		return nil, errors.Join(err, file.Close())
 	}
-	return &Listener{file: file, raw: raw, address: ln.Addr(), calls: calls}, nil
+	l := &Listener{file: file, raw: raw, address: ln.Addr(), calls: calls}
+	if err := l.SetBacklog(defaultBacklog); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	return l, nil
 }
 
 // SetErrorRecorder sets what records failed registrations. It must be called before Accept.
@@ -167,6 +171,7 @@
 func (l *Listener) connect(fd int, peer syscall.Sockaddr) (net.Conn, error) {
 	acceptedAt := time.Now()
 	_ = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1) // small responses would only leave later
+	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, acceptedReceiveBytes)
 	file, err := l.calls.Register(fd)
 	for pause := syserr.NewBackoff(maxRegisterRetry); err != nil && pause.Wait(); {
 		l.errors.Failed(syserr.Register, "", err)
--- a/syserr/recorder.go
+++ b/syserr/recorder.go
@@ -17,6 +17,7 @@
 
 // The calls that are counted.
 const (
+	Listen         Call = "listen"
 	Accept         Call = "accept"
 	Register       Call = "register with the poller"
 	ClientRead     Call = "client read"
