Mend: clients that send at full speed or read no answers hold up the others

What callers saw: good clients answered late or never beside a crowd; memory that grew with each unread answer.

Change: a yield after each read that did not wait; work for requests that bring no message has a pace shared by all connections (admission/pace.go); the metrics are one text each 50 ms, shared and not copied; where a place is wanted, connections whose client takes nothing of its answer go first (after 20 ms, 0.4 s if it is the answer to a message) and what the kernel holds for them is dropped; a connection silent for under 20 ms does not make room, as its request may be on its way; some connections get a large receive buffer out of an account, as the end of a stream is only seen once all before it fits.

--- a/dispatcher/process.go
+++ b/dispatcher/process.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"orchiddrift/admission"
 	"orchiddrift/directory"
 	"orchiddrift/exchange"
 	"orchiddrift/gateway"
@@ -182,6 +183,7 @@
 func (p *process) newServer() *intake.Server {
 	server := intake.NewServer(p.state.clock, p.parts.scheduler.TopicTTL, p.runner.Post, p.admission.division.MaxConnections, p.log)
 	server.SetAdmission(p.admission.budget, p.admission.room)
+	server.SetPace(admission.NewPace(p.cfg.Limits.Cores))
 	server.SetErrorRecorder(p.errors)
 	server.SetExchangeRecorder(p.exchanges)
 	server.SetMetrics(p.invariants, func(w io.Writer) {
--- a/intake/client.go
+++ b/intake/client.go
@@ -25,6 +25,7 @@
 	evictedForRoom    closeReason = "made room"          // closed to admit another connection
 	serverStopping    closeReason = "planned stop"       // Server.Close was called
 	responseUnwritten closeReason = "answer not written" // writing the response failed until its time was over
+	answerNotTaken    closeReason = "answer not taken"   // the client did not read, and the connection made room for another one
 	noneEvictable     closeReason = "all others busy"    // not admitted: the limit was reached and no connection could be evicted
 )
 
@@ -49,6 +50,8 @@
 	responded            bool             // the current request was answered: the next bytes belong to another one
 	refused              bool             // the current request was refused, and the rest of it is being dropped
 	servedBefore         bool             // a request on this connection was answered
+	stuckSince           time.Time        // since when the system has taken nothing more of an answer; zero if it does
+	messageAnswer        bool             // the current answer is one to a message
 	lastActivity         int              // limitListener.activityCount at the accept or the last response
 	requestID            string           // of the last request that was read completely
 	pipelined            bool             // further complete requests were read after the current one
@@ -57,10 +60,11 @@
 	emptyAt              time.Time        // when the socket was last seen empty; only the goroutine that reads uses it, as arrivedAfter
 	arrivedAfter         time.Time        // the bytes that were read last arrived after that; zero if that is not known
 	readDelay            time.Duration    // how long reads of the current request have failed; only the goroutine that reads uses it
+	largeBuffer          bool             // it has a large receive buffer, which is reserved; not used concurrently
 	answered             answeredRequests // only the goroutine that serves the connection uses it, and the next four fields
 	ahead                readAhead
 	account              *admission.Client // its share of the room for messages
-	refusals             int               // requests that were refused in a row
+	unproductive         int               // requests in a row that brought no message: refused ones, and those for pages
 	abandoned            int               // requests that were read after the client had left
 	untoldSince          time.Time         // since when shutting down the write side of an idle connection has failed; zero: it has not
 	queuedFor            time.Duration     // how long the connection may have waited to be accepted while accepts failed
@@ -120,6 +124,7 @@
 	l.lock.Unlock()
 	l.log.Debug().Stringer("client", c.RemoteAddr()).Str("ntf", requestID).Str("reason", string(reason)).Msg("connection closed")
 	if !linger {
+		defer c.releaseReceiveBuffer()
 		return c.Conn.Close()
 	}
 	shutdownAgain := c.closeWrite()
@@ -145,7 +150,52 @@
 func (c *clientConn) state() permit.ClientConn {
 	return permit.ClientConn{ReadClosed: c.readClosed, EvictedMidway: c.evictedDuringRequest, RequestStarted: c.requestStarted,
 		RequestComplete: c.requestComplete, Responded: c.responded, Refused: c.refused, Pipelined: c.pipelined,
-		ClientGone: c.reason == closedByClient, SilentFor: time.Since(c.heardAt)}
+		ClientGone: c.reason == closedByClient || c.reason == answerNotTaken, SilentFor: time.Since(c.heardAt),
+		AnswerStuckFor: c.stuckFor(), MessageAnswer: c.messageAnswer}
+}
+
+// stuckFor returns for how long the system has taken nothing more of an answer. The caller holds the lock.
+func (c *clientConn) stuckFor() time.Duration {
+	if c.stuckSince.IsZero() {
+		return 0
+	}
+	return max(1, time.Since(c.stuckSince))
+}
+
+// setStuck records whether the system takes nothing more of an answer.
+func (c *clientConn) setStuck(stuck bool) {
+	c.listener.lock.Lock()
+	defer c.listener.lock.Unlock()
+	switch {
+	case !stuck:
+		c.stuckSince = time.Time{}
+	case c.stuckSince.IsZero():
+		c.stuckSince = time.Now()
+	}
+}
+
+// enlargeReceiveBuffer gives the connection a large receive buffer if there is memory for it.
+func (c *clientConn) enlargeReceiveBuffer() {
+	if c.rawConn == nil || !c.listener.budget.ReserveSpare(admission.ReceiveBuffers, admission.LargeReceiveBytes) {
+		return
+	}
+	c.largeBuffer = true
+	_ = c.rawConn.Control(func(fd uintptr) { sock.EnlargeReceiveBuffer(int(fd)) })
+}
+
+// releaseReceiveBuffer gives back what is reserved for a large receive buffer, once the connection is closed.
+func (c *clientConn) releaseReceiveBuffer() {
+	if c.largeBuffer {
+		c.largeBuffer = false
+		c.listener.budget.Release(admission.ReceiveBuffers, admission.LargeReceiveBytes)
+	}
+}
+
+// dropUnsent makes the system drop what it holds for a client that does not take it, once the connection is closed.
+func (c *clientConn) dropUnsent() {
+	if c.rawConn != nil {
+		_ = c.rawConn.Control(func(fd uintptr) { sock.ResetOnClose(int(fd)) })
+	}
 }
 
 // closeWrite shuts down the write side, if the connection supports that. The read side stays open. It reports whether that is to be
@@ -193,7 +243,7 @@
 	if c.listener.open[c] && !c.servedBefore && !c.requestComplete {
 		c.listener.establishedCount++
 	}
-	c.requestComplete, c.responded = true, false
+	c.requestComplete, c.responded, c.messageAnswer = true, false, id != ""
 	c.handledRequests++
 	return true, c.evictedDuringRequest || c.listener.crowded()
 }
@@ -222,19 +272,39 @@
 }
 
 const (
-	// freeRefusals is how many requests of a connection are refused in a row without a pause.
-	freeRefusals = 8
-	// refusalPause is the pause after the next refusal, and what each further one adds to it, up to maxRefusalPause.
-	refusalPause    = time.Millisecond
-	maxRefusalPause = 20 * time.Millisecond
+	// freeUnproductive is how many requests in a row may bring no message without a pause.
+	freeUnproductive = 8
+	// unproductivePause is the pause after the next one, and what each further one adds to it, up to maxUnproductivePause.
+	unproductivePause    = time.Millisecond
+	maxUnproductivePause = 20 * time.Millisecond
 )
 
-// pauseAfterRefusals pauses if requests of the connection were refused again and again: its client would go on at once, and what that
-// costs is taken from the others.
-func (c *clientConn) pauseAfterRefusals(m *metricSet) {
-	if c.refusals <= freeRefusals {
+// pauseIfUnproductive pauses if requests of the connection brought no message again and again: its client would go on at once, and what
+// that costs is taken from the others.
+func (s *Server) pauseIfUnproductive(c *clientConn) {
+	if c.unproductive <= freeUnproductive {
 		return
 	}
-	m.paused()
-	time.Sleep(min(time.Duration(c.refusals-freeRefusals)*refusalPause, maxRefusalPause))
+	s.metrics.paused()
+	s.paceOut(c, admission.RequestCost)
+	time.Sleep(min(time.Duration(c.unproductive-freeUnproductive)*unproductivePause, maxUnproductivePause))
+}
+
+// paceStep is the longest time for which a connection that waits does not see that it has to make room.
+const paceStep = 5 * time.Millisecond
+
+// paceOut waits after work for a request of a connection that brings no message, as far as all such work together exceeds its pace, and
+// not once the connection has to make room.
+func (s *Server) paceOut(c *clientConn, bytes int) {
+	wait := time.Duration(s.pace.Delay(s.clock(), bytes) * float64(time.Second))
+	for ; wait > 0 && !c.isEvicted(); wait -= paceStep {
+		time.Sleep(min(wait, paceStep))
+	}
+}
+
+// isEvicted reports whether the connection was closed to make room.
+func (c *clientConn) isEvicted() bool {
+	c.listener.lock.Lock()
+	defer c.listener.lock.Unlock()
+	return c.evicted
 }
--- a/intake/client_io.go
+++ b/intake/client_io.go
@@ -3,13 +3,16 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"os"
+	"runtime"
 	"syscall"
 	"time"
 
 	"orchiddrift/gateway"
 	"orchiddrift/invariant"
 	"orchiddrift/permit"
+	"orchiddrift/sock"
 	"orchiddrift/syserr"
 )
 
@@ -63,6 +66,9 @@
 			if pause != nil {
 				c.readDelay += time.Since(failingSince)
 			}
+			if !c.reading.waited {
+				runtime.Gosched() // a client that sends as fast as it is read would keep the processor
+			}
 			return n, nil
 		case errors.Is(waitErr, os.ErrDeadlineExceeded) && !extended && c.extendIdleDeadline():
 			extended = true
@@ -151,7 +157,7 @@
 	buffer []byte
 	n      int
 	err    error
-	waited bool // there was nothing to read at first
+	waited bool // there was nothing to read at first, or no room to write
 }
 
 // setUpAttempts creates the functions that rawConn calls on its descriptor, once for all reads and writes. They report whether the
@@ -173,7 +179,12 @@
 	c.tryWrite = func(fd uintptr) bool {
 		n, err := c.calls.Write(int(fd), c.writing.buffer)
 		c.writing.n, c.writing.err = max(0, n), err
-		return !errors.Is(err, syscall.EAGAIN)
+		mustWait := errors.Is(err, syscall.EAGAIN)
+		if mustWait != c.writing.waited {
+			c.writing.waited = mustWait
+			c.setStuck(mustWait)
+		}
+		return !mustWait
 	}
 }
 
@@ -228,17 +239,20 @@
 	c.listener.lock.Lock()
 	defer c.listener.lock.Unlock()
 	switch {
+	case c.reason == answerNotTaken: // it was let go meanwhile
+		return n, net.ErrClosed
 	case err == nil:
 		c.responded, c.heardAt = true, time.Now()
 	case syserr.ConnMayPass(err):
 		c.setReason(responseUnwritten)
 	default: // the client is gone, or does not take its response
 		c.setReason(closedByClient)
+		c.dropUnsent()
 	}
 	return n, err
 }
 
-// writeBytes writes all of b, waiting while the socket's buffer is full. After an error that may pass it tries again with the
+// writeBytes writes all of b, at most sock.MaxWrite bytes at a time, waiting while the socket's buffer is full. After an error that may pass it tries again with the
 // rest, until the write deadline.
 func (c *clientConn) writeBytes(b []byte) (written int, err error) {
 	if c.rawConn == nil {
@@ -247,7 +261,7 @@
 	var pause *syserr.Backoff
 	var lastErr error // that may pass
 	for {
-		c.writing = attempt{buffer: b[written:]}
+		c.writing = attempt{buffer: b[written:min(written+sock.MaxWrite, len(b))]}
 		waitErr := c.rawConn.Write(c.tryWrite)
 		written, err = written+c.writing.n, c.writing.err
 		switch {
--- a/intake/clients.go
+++ b/intake/clients.go
@@ -20,10 +20,10 @@
 	// do not use up the connections.
 	keepAliveDivisor = 3
 	// lingerDivisor sets how many connections, maxConns/lingerDivisor but at least one, may linger besides the open ones.
-	lingerDivisor = 8
+	lingerDivisor = admission.LingerDivisor
 	// evictingDivisor sets how many evicted connections, maxConns/evictingDivisor but at least one, may still hold their descriptor: with
 	// more, none is evicted for a moment, so that the next ones wait to be accepted.
-	evictingDivisor = 8
+	evictingDivisor = admission.LingerDivisor
 	// lingerTimeout is the longest time that a connection lingers.
 	lingerTimeout = 500 * time.Millisecond
 	// retryDelay is the pause after a failed accept, and between two checks of the connections while the server stops.
@@ -75,6 +75,7 @@
 		}
 		c.queuedFor = l.acceptDelay()
 		if l.admit(c) {
+			c.enlargeReceiveBuffer()
 			return c, nil
 		}
 		l.log.Debug().Stringer("client", conn.RemoteAddr()).Str("reason", string(noneEvictable)).Msg("connection closed")
@@ -136,19 +137,33 @@
 // admit adds a connection to the open ones and reports whether it was added. If the limit is reached and no other one can be evicted
 // just now, because all are busy or could not be looked at, it waits for as long as the client does.
 func (l *limitListener) admit(c *clientConn) bool {
-	for pause := syserr.NewBackoff(clientPatience); !l.tryAdmit(c); {
-		if !pause.Wait() {
+	for startedAt := time.Now(); !l.tryAdmit(c); time.Sleep(admitInterval) {
+		if time.Since(startedAt) > clientPatience {
 			return false
 		}
 	}
 	return true
 }
 
+// admitInterval is the time between two attempts to make room for a connection. Others wait for it to be accepted.
+const admitInterval = 2 * time.Millisecond
+
 // tryAdmit adds a connection to the open ones and reports whether it was added. It evicts another one if the limit is reached.
 func (l *limitListener) tryAdmit(c *clientConn) bool {
-	return l.addIfRoom(c) || (l.evictOne(clientPatience) || l.evictOne(0)) && l.addIfRoom(c)
+	if l.addIfRoom(c) {
+		return true
+	}
+	for l.evictBy(permit.EvictStuck, 0) { // all of them: where there is one there are many, and the next connections wait
+	}
+	return l.addIfRoom(c) || (l.evictOne(clientPatience) || l.evictOne(crossingTime)) && l.addIfRoom(c)
 }
 
+// crossingTime is how long a connection has to be silent to make room: a client that has just connected is writing its request.
+const crossingTime = 20 * time.Millisecond
+
+// evictionRule decides whether a connection may make room for another.
+type evictionRule func(c permit.ClientConn, minSilence time.Duration, unread func() permit.Unread) permit.Denial
+
 // addIfRoom adds a connection to the open ones, unless the limit or the account of their memory is reached, and reports whether it was
 // added.
 func (l *limitListener) addIfRoom(c *clientConn) bool {
@@ -163,13 +178,18 @@
 	return true
 }
 
-// evictOne closes one evictable connection that has been silent for minSilence, and reports whether there was any. If bytes of a
-// request were read from it, it only interrupts reading, and the HTTP server closes the connection.
+// evictOne closes one evictable connection that has been silent for minSilence, and reports whether there was any.
 func (l *limitListener) evictOne(minSilence time.Duration) bool {
+	return l.evictBy(permit.Evict, minSilence)
+}
+
+// evictBy closes one connection that a rule lets go, and reports whether there was any. If bytes of a request were read from it, it only
+// interrupts reading, and the HTTP server closes the connection.
+func (l *limitListener) evictBy(rule evictionRule, minSilence time.Duration) bool {
 	l.lock.Lock()
 	var victim *clientConn
 	if l.evictingCount < max(1, l.maxConns/evictingDivisor) {
-		victim = l.findEvictable(minSilence)
+		victim = l.findEvictable(rule, minSilence)
 	}
 	if victim == nil {
 		l.lock.Unlock()
@@ -177,13 +197,21 @@
 	}
 	victim.evicted = true
 	l.evictingCount++
-	victim.markReadClosed(evictedForRoom)
+	stuck := permit.AnswerStuck(victim.state())
+	if stuck {
+		victim.markReadClosed(answerNotTaken)
+	} else {
+		victim.markReadClosed(evictedForRoom)
+	}
 	l.remove(victim)
-	midRequest := victim.requestStarted
+	midRequest := victim.requestStarted && !stuck
 	if victim.evictedDuringRequest = midRequest; midRequest { // the bytes read may be the whole request
 		victim.interruptRead()
 	}
 	l.lock.Unlock()
+	if stuck {
+		victim.dropUnsent()
+	}
 	if !midRequest {
 		_ = victim.Conn.Close()
 	}
@@ -191,25 +219,25 @@
 }
 
 // findEvictable returns the connection to evict, or nil if none may be evicted. The caller holds the lock.
-func (l *limitListener) findEvictable(minSilence time.Duration) *clientConn {
+func (l *limitListener) findEvictable(rule evictionRule, minSilence time.Duration) *clientConn {
 	var victim *clientConn
 	for candidate := range l.open {
 		if victim != nil && !candidate.evictBefore(victim) {
 			continue
 		}
-		if permit.Evict(candidate.state(), minSilence, candidate.unread) == permit.Granted {
+		if rule(candidate.state(), minSilence, candidate.unread) == permit.Granted {
 			victim = candidate
 		}
 	}
 	return victim
 }
 
-// evictBefore reports whether c is to be evicted rather than other: one whose request was refused before one that was not, then one that
-// never sent a complete request before one that did, else
+// evictBefore reports whether c is to be evicted rather than other: one whose request was refused, or whose client does not read its
+// answers, before one of which that is not so, then one that never sent a complete request before one that did, else
 // the one that has been idle for longer. The caller holds the lock.
 func (c *clientConn) evictBefore(other *clientConn) bool {
-	if c.refused != other.refused {
-		return c.refused
+	if last, otherLast := c.refused || !c.stuckSince.IsZero(), other.refused || !other.stuckSince.IsZero(); last != otherLast {
+		return last
 	}
 	if c.servedBefore != other.servedBefore {
 		return !c.servedBefore
@@ -271,6 +299,7 @@
 		}
 	}
 	_ = c.Conn.Close()
+	c.releaseReceiveBuffer()
 	l.lock.Lock()
 	l.lingeringCount--
 	l.lock.Unlock()
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -40,7 +40,9 @@
 	exchanges          *exchange.Recorder // may be nil
 	budget             *admission.Budget  // of the memory for bodies; may be nil
 	room               *admission.Room    // for messages; may be nil
+	pace               *admission.Pace    // of work for requests that bring no message; may be nil
 	metrics            *metricSet
+	metricsPage        metricsPage
 	requestBegun       func(*clientConn) // called when the first byte of a request was read; for tests, may be nil
 }
 
@@ -59,6 +61,9 @@
 	s.budget, s.room, s.listener.budget = budget, room, budget
 }
 
+// SetPace sets the pace of work for requests that bring no message. It must be called before Serve.
+func (s *Server) SetPace(pace *admission.Pace) { s.pace = pace }
+
 // SetMetrics sets the counters for invariant violations, which /_metrics serves, and a function that writes further metrics
 // there. It must be called before Serve.
 func (s *Server) SetMetrics(invariants *invariant.Counters, writeMetrics func(io.Writer)) {
--- a/intake/memory_test.go
+++ b/intake/memory_test.go
@@ -154,14 +154,14 @@
 	}
 	const many = 40
 	least := time.Duration(0)
-	for n := 1; n <= many-freeRefusals-1; n++ {
-		least += min(time.Duration(n)*refusalPause, maxRefusalPause)
+	for n := 1; n <= many-freeUnproductive-1; n++ {
+		least += min(time.Duration(n)*unproductivePause, maxUnproductivePause)
 	}
 	if took := ask(ts.dial(t), many); took < least {
 		t.Errorf("%d refusals took %v, at least %v expected", many, took, least)
 	}
 	conn := ts.dial(t)
-	ask(conn, freeRefusals)
+	ask(conn, freeUnproductive)
 	fmt.Fprint(conn, requestWithID("good"))
 	if resp := readResponse(t, conn); resp.StatusCode != http.StatusAccepted {
 		t.Error(resp.StatusCode)
--- a/intake/request.go
+++ b/intake/request.go
@@ -228,8 +228,15 @@
 	}
 }
 
-// discard reads the body and drops it.
-func (r *bodyReader) discard() error { return r.forEach(func([]byte) {}) }
+// discard reads the body and drops it, at a pace that all connections share unless the connection ends with it: then it would only take
+// the place of others.
+func (r *bodyReader) discard(server *Server, last bool) error {
+	return r.forEach(func(part []byte) {
+		if !last {
+			server.paceOut(r.conn, len(part))
+		}
+	})
+}
 
 // readSome reads some bytes of a body, first those that were read ahead.
 func (c *clientConn) readSome(b []byte) (int, error) {
--- a/intake/response.go
+++ b/intake/response.go
@@ -1,8 +1,6 @@
 package intake
 
 import (
-	"bytes"
-	"io"
 	"strconv"
 	"time"
 
@@ -15,21 +13,16 @@
 	retryAfter  float64 // seconds; 0 for none
 	text        string  // the body, as plain text
 	contentType string
-	write       func(io.Writer) // writes a longer body; may be nil
-	close       bool            // the connection ends with the answer
+	page        []byte // the body where it is longer; it is not changed
+	close       bool   // the connection ends with the answer
 }
 
 // timeFormat is the form of the Date field.
 const timeFormat = "Mon, 02 Jan 2006 15:04:05 GMT"
 
-// appendTo appends the response as it is sent.
+// appendTo appends the response as it is sent, without its page.
 func (r response) appendTo(b []byte) []byte {
-	body := []byte(r.text)
-	if r.write != nil {
-		var buffer bytes.Buffer
-		r.write(&buffer)
-		body = buffer.Bytes()
-	}
+	length := len(r.text) + len(r.page)
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(r.status), 10)
 	b = append(append(b, ' '), fasthttp.StatusMessage(r.status)...)
@@ -40,15 +33,15 @@
 	if r.retryAfter > 0 {
 		b = strconv.AppendFloat(append(b, "\r\nRetry-After: "...), r.retryAfter, 'f', 3, 64)
 	}
-	if len(body) > 0 {
+	if length > 0 {
 		contentType := r.contentType
 		if contentType == "" {
 			contentType = "text/plain; charset=utf-8"
 		}
 		b = append(append(b, "\r\nContent-Type: "...), contentType...)
 	}
-	b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), int64(len(body)), 10)
-	return append(append(b, "\r\n\r\n"...), body...)
+	b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), int64(length), 10)
+	return append(append(b, "\r\n\r\n"...), r.text...)
 }
 
 // writeResponse writes a response to the client.
@@ -56,7 +49,15 @@
 	buffer := headBuffers.Get().(*headBuffer)
 	defer headBuffers.Put(buffer)
 	_ = c.SetWriteDeadline(time.Now().Add(ioTimeout))
-	_, err := c.Write(r.appendTo(buffer[:0]))
+	head := r.appendTo(buffer[:0])
+	if len(r.page) == 0 {
+		_, err := c.Write(head)
+		return err
+	}
+	if _, err := c.writeBytes(head); err != nil {
+		return err
+	}
+	_, err := c.Write(r.page)
 	return err
 }
 
--- a/intake/serve.go
+++ b/intake/serve.go
@@ -19,7 +19,7 @@
 // serveConn serves the requests of a connection until it ends.
 func (s *Server) serveConn(c *clientConn) {
 	for s.serveRequest(c) {
-		c.pauseAfterRefusals(s.metrics)
+		s.pauseIfUnproductive(c)
 	}
 	c.ahead.release()
 	_ = c.Close()
@@ -93,7 +93,8 @@
 	case path == "/_health" && method == fasthttp.MethodGet:
 		return r.answerWithoutBody(response{status: fasthttp.StatusOK})
 	case path == "/_metrics" && method == fasthttp.MethodGet:
-		return r.answerWithoutBody(response{status: fasthttp.StatusOK, contentType: "text/plain; version=0.0.4", write: r.server.writeAllMetrics})
+		return r.answerWithoutBody(response{status: fasthttp.StatusOK, contentType: "text/plain; version=0.0.4",
+			page: r.server.metricsPage.read(r.server.writeAllMetrics)})
 	case path != "/api" && path != "/_health" && path != "/_metrics":
 		return r.refuse(refusedPath, response{status: fasthttp.StatusNotFound})
 	}
@@ -111,7 +112,8 @@
 
 // answerWithoutBody answers a request whose body means nothing.
 func (r *request) answerWithoutBody(resp response) (again bool) {
-	if err := r.reader.discard(); err != nil {
+	r.conn.unproductive++
+	if err := r.reader.discard(r.server, false); err != nil {
 		r.server.rejectUnreadable(r.conn, err)
 		return false
 	}
@@ -145,7 +147,7 @@
 func (r *request) refuse(reason refusalReason, resp response) (again bool) {
 	c := r.conn
 	r.server.metrics.refused(reason)
-	c.refusals++
+	c.unproductive++
 	if !r.head.hasBody() {
 		return r.answer("", resp)
 	}
@@ -157,7 +159,7 @@
 		return false
 	}
 	resp.close = resp.close || closeAfter || r.head.closes || r.server.closeAfterResponse.Load()
-	if err := c.writeResponse(resp); err != nil || r.head.expectContinue || !r.dropBody() {
+	if err := c.writeResponse(resp); err != nil || r.head.expectContinue || !r.dropBody(resp.close) {
 		return false
 	}
 	r.finish()
@@ -172,9 +174,9 @@
 
 // dropBody reads and drops the rest of a request that was refused, and reports whether that came to its end. Meanwhile the connection may
 // make room for another one.
-func (r *request) dropBody() bool {
+func (r *request) dropBody(last bool) bool {
 	r.conn.setRefused(true)
-	err := r.reader.discard()
+	err := r.reader.discard(r.server, last)
 	r.conn.setRefused(false)
 	return err == nil
 }
@@ -224,7 +226,7 @@
 	}
 	if err != nil {
 		s.logBadRequest(c, m.ID, err)
-		c.refusals++
+		c.unproductive++
 		s.metrics.refused(refusedInvalid)
 		return r.answer(m.ID, response{status: fasthttp.StatusBadRequest, text: err.Error()})
 	}
@@ -274,7 +276,7 @@
 	hold, refusal := s.room.Take(now, c.account, m.Size())
 	if refusal != admission.Granted {
 		s.metrics.refused(refusalReason(refusal))
-		c.refusals++
+		c.unproductive++
 		return r.respond(response{status: fasthttp.StatusServiceUnavailable, retryAfter: refusalWait}, closeAfter)
 	}
 	b.release() // it is part of the message from now on
@@ -287,10 +289,10 @@
 	s.debugLog.Debug().Str("ntf", m.ID).Stringer("client", c.RemoteAddr()).Bool("taken", answer.Accepted).Str("why", string(answer.Reason)).
 		Float64("after", time.Since(r.startedAt).Seconds()).Msg("request answered")
 	if answer.Accepted {
-		c.refusals = 0
+		c.unproductive = 0
 		return r.respond(response{status: fasthttp.StatusAccepted}, closeAfter)
 	}
-	c.refusals++
+	c.unproductive++
 	if answer.Reason == gateway.IDInUse {
 		s.logBadRequest(c, m.ID, errors.New(string(answer.Reason)))
 	}
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -31,7 +31,9 @@
 	Responded       bool          // the current request was answered
 	Refused         bool          // the current request was answered with a refusal before it was read completely
 	Pipelined       bool          // complete requests were read behind the current one
-	ClientGone      bool          // the client has closed or reset the connection
+	ClientGone      bool          // the client has closed or reset the connection, or does not take its answer
+	AnswerStuckFor  time.Duration // for how long the system has taken nothing more of the current answer; 0 if it does
+	MessageAnswer   bool          // the current answer is one to a message
 	SilentFor       time.Duration // since it was accepted, or a byte was read from it or written to it
 }
 
@@ -57,14 +59,29 @@
 	return Granted
 }
 
+// The times after which a client that takes nothing of its answer counts as not reading, if the connection could make room: one for
+// answers to messages, which a client waits for, and one for others. A client that reads has room for an answer.
+const (
+	messageStuckTime = 400 * time.Millisecond
+	otherStuckTime   = 20 * time.Millisecond
+)
+
+// AnswerStuck reports whether the client does not read its answers.
+func AnswerStuck(c ClientConn) bool {
+	if c.MessageAnswer {
+		return c.AnswerStuckFor >= messageStuckTime
+	}
+	return c.AnswerStuckFor >= otherStuckTime
+}
+
 // Evict asks: may the connection make room for another, because no whole request was read from it, none stands in its socket, and
 // it has been silent for so long that none is on its way? An incomplete request may be cut off, and so may the rest of one that was
-// refused: its client has its answer.
+// refused: its client has its answer. So may one whose client does not read its answers.
 func Evict(c ClientConn, minSilence time.Duration, unread func() Unread) Denial {
 	switch {
 	case c.ReadClosed:
 		return AlreadyClosed
-	case c.Refused:
+	case c.Refused, AnswerStuck(c):
 		return Granted
 	case c.RequestStarted && (c.RequestComplete || c.Responded):
 		return RequestInProgress
@@ -76,6 +93,17 @@
 	return Granted
 }
 
+// EvictStuck asks: may the connection make room for another because its client does not read its answers?
+func EvictStuck(c ClientConn, _ time.Duration, _ func() Unread) Denial {
+	switch {
+	case c.ReadClosed:
+		return AlreadyClosed
+	case AnswerStuck(c):
+		return Granted
+	}
+	return RequestInProgress
+}
+
 // End asks: has each request that was read from the connection its answer, or is the client gone?
 func End(c ClientConn) Denial {
 	if c.RequestComplete && !c.ClientGone && (!c.Responded || c.Pipelined) {
