Logs: memory by kind, why a process ends, what the one before it saw last

The process reads its memory twice a second (resident, file pages, sockets by SO_MEMINFO, folder, descriptors, goroutines, threads), logs it by kind as it passes a half, three quarters and nine tenths of the limit and as it falls again, and tells it in /_metrics. A file of one block in the lasting folder holds the last sum, the peak and whether the process ended by a plan; the next one logs it. The last line says why a process ends. Huge pages are turned off for the process (prctl): a page of 2 MB would be resident as a whole; not reproduced, as this machine has them off.

Test: TestMemoryByKindIsTold, new with the code.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -11,6 +11,8 @@
 	"runtime/debug"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Run runs a dispatcher on the host until SIGTERM, SIGINT or an error. It reads the ROUTER_ variables with getenv. It
@@ -29,6 +31,7 @@
 	signal.Notify(reloadSignals, syscall.SIGHUP)
 	defer signal.Stop(reloadSignals)
 
+	disableHugePages()
 	signal.Ignore(syscall.SIGPIPE) // otherwise a closed log pipe terminates the process
 	startup := &startupSequence{stopSignals: stopSignals, log: logOptions.logger().With().Timestamp().Logger(), startedAt: time.Now()}
 
@@ -48,9 +51,23 @@
 	}
 	defer p.state.folder.Close()
 	go watchReloads(reloadSignals, system, cfg, p.agent, p.errors, log)
-	return p.run()
+	err = p.run()
+	why := endPlanned
+	if err != nil {
+		why = err.Error()
+	}
+	p.admission.watch.ended(why)
+	log.Info().Str("why", why).Msg("process ends")
+	return err
 }
 
+// endPlanned is why a process ends that was asked to.
+const endPlanned = "stopped by a signal"
+
+// disableHugePages keeps the kernel from backing the heap with huge pages, which are resident as a whole once a byte of them is used. A
+// system that refuses it has its own setting.
+func disableHugePages() { _ = unix.Prctl(unix.PR_SET_THP_DISABLE, 1, 0, 0, 0) }
+
 // ignoreStopped returns err, or nil if the start was interrupted by a stop signal.
 func ignoreStopped(err error) error {
 	if errors.Is(err, errStoppedDuringStartup) {
--- a/dispatcher/memory.go
+++ b/dispatcher/memory.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"os"
 
 	"github.com/rs/zerolog"
 
@@ -16,11 +15,13 @@
 	division   admission.Division
 	budget     *admission.Budget
 	room       *admission.Room
+	watch      *memoryWatch
 }
 
-// newMemoryAdmission returns the accounts of a configuration with a memory limit, and logs how that is divided.
+// newMemoryAdmission returns the accounts of a configuration with a memory limit, and logs how that is divided. Nothing is watched until
+// the watch runs.
 func newMemoryAdmission(cfg *config, limitBytes int, log zerolog.Logger) *memoryAdmission {
-	a := &memoryAdmission{limitBytes: limitBytes, division: cfg.division}
+	a := &memoryAdmission{limitBytes: limitBytes, division: cfg.division, watch: &memoryWatch{limitBytes: limitBytes, stateDir: cfg.stateDir, log: log}}
 	a.budget = admission.NewBudget(cfg.division, func(p admission.Purpose, full bool) {
 		if full {
 			log.Warn().Stringer("purpose", p).Int("bytes", cfg.division.Bytes[p]).Msg("memory account full: what does not fit is refused")
@@ -45,7 +46,16 @@
 		_, _ = fmt.Fprintf(w, "orchiddrift_memory_%s%s %d\n", name, label, value)
 	}
 	gauge("limit_bytes", "", a.limitBytes)
-	gauge("resident_bytes", "", residentBytes())
+	latest, peak := a.watch.reading()
+	gauge("resident_bytes", "", latest.Resident)
+	gauge("file_pages_bytes", "", latest.FilePages)
+	gauge("socket_bytes", "", latest.Sockets)
+	gauge("folder_bytes", "", latest.Folder)
+	gauge("total_peak_bytes", "", peak)
+	gauge("sockets", "", latest.SocketCount)
+	gauge("descriptors", "", latest.Descriptors)
+	gauge("goroutines", "", latest.Goroutines)
+	gauge("threads", "", latest.Threads)
 	for _, usage := range a.budget.Usage() {
 		gauge("account_bytes", usage.Purpose.String(), usage.Capacity)
 		gauge("reserved_bytes", usage.Purpose.String(), usage.Reserved)
@@ -53,16 +63,3 @@
 		gauge("refusals_total", usage.Purpose.String(), usage.Refused)
 	}
 }
-
-// residentBytes returns the resident memory of this process, or 0 if it cannot be read.
-func residentBytes() int {
-	text, err := os.ReadFile("/proc/self/statm")
-	if err != nil {
-		return 0
-	}
-	var total, resident int
-	if _, err := fmt.Sscan(string(text), &total, &resident); err != nil {
-		return 0
-	}
-	return resident * os.Getpagesize()
-}
--- a/dispatcher/memory_test.go
+++ b/dispatcher/memory_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"orchiddrift/admission"
+	"orchiddrift/disk"
 )
 
 // exampleConfig returns the path of a copy of the example configuration with other limits.
@@ -81,6 +82,7 @@
 		t.Errorf("logged %q", messages)
 	}
 	var metrics bytes.Buffer
+	a.watch.note(readMemory(t.TempDir()))
 	a.write(&metrics)
 	for _, series := range []string{"orchiddrift_memory_limit_bytes 32000000\n", `orchiddrift_memory_refusals_total{purpose="requests"} 3`,
 		`orchiddrift_memory_peak_bytes{purpose="requests"} 1`, `orchiddrift_memory_account_bytes{purpose="connections"} `} {
@@ -92,3 +94,25 @@
 		t.Error("the resident memory is not told")
 	}
 }
+
+// Guards against a log that does not tell why a process was killed: what it used of each kind, and what the process before saw last.
+func TestMemoryByKindIsTold(t *testing.T) {
+	var text bytes.Buffer
+	folder, err := disk.OpenDir(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer folder.Close()
+	w := &memoryWatch{limitBytes: 100, log: zerolog.New(&text), lastRun: openLastRun(folder, zerolog.Nop())}
+	for _, resident := range []int{49, 80, 76, 72, 71, 95, 10} {
+		w.note(memoryByKind{Resident: resident - 2, Sockets: 1, Folder: 1})
+	}
+	if lines := strings.Count(text.String(), `"message":"memory by kind"`); lines != 3 { // at 80, 95 and 10: 71 is within the margin
+		t.Errorf("%d lines:\n%s", lines, &text)
+	}
+	text.Reset()
+	openLastRun(folder, zerolog.New(&text))
+	if line := text.String(); !strings.Contains(line, `"ended":"no"`) || !strings.Contains(line, `"total":10,"peak":95,"limit":100`) {
+		t.Error(line)
+	}
+}
--- a/dispatcher/process.go
+++ b/dispatcher/process.go
@@ -66,6 +66,7 @@
 		return nil, err
 	}
 	p.admission = newMemoryAdmission(cfg, cfg.admissionLimits().MemoryBytes, p.log)
+	p.admission.watch.lastRun = openLastRun(p.state.folder, p.log)
 	p.agent = platform.NewAgent(cfg.Discovery, cfg.Known.Version, p.log)
 	p.agent.SetMaxEntries(p.admission.division.MaxEndpoints)
 	p.agent.SetDialer(platform.Dialer(p.dialer(exchange.Agent, system.DialAgent, syserr.AgentDial, syserr.AgentRead, syserr.AgentWrite)))
@@ -109,6 +110,9 @@
 		Int("recovering", len(p.state.recovering)).Msg("start")
 	saver := recoverystate.NewSaver(p.state.recoveryStore, func(err error) { p.errors.Failed(syserr.RecoveryWrite, "", err) })
 	defer saver.Close()
+	watched := make(chan struct{})
+	defer close(watched)
+	go p.admission.watch.run(watched)
 	p.runner.SaveRecovery = saver.Save
 	p.runner.RestoreRecovery(p.state.recovering)
 	p.runner.Restore(p.state.pending)
--- a/dispatcher/start.go
+++ b/dispatcher/start.go
@@ -109,7 +109,7 @@
 		return nil, fmt.Errorf("ledger: %w", err)
 	}
 	sync := cfg.Ledger.Sync == syncBatch || cfg.Ledger.Sync == syncAlways
-	state.ledger, state.pending, state.report, err = ledger.Open(state.folder, ledger.Options{LimitBytes: cfg.division.FolderBytes - len(recoverystate.FileNames)*recoverystate.MaxBytes, Sync: sync})
+	state.ledger, state.pending, state.report, err = ledger.Open(state.folder, ledger.Options{LimitBytes: cfg.division.FolderBytes - len(recoverystate.FileNames)*recoverystate.MaxBytes - lastRunBytes, Sync: sync})
 	if err != nil {
 		_ = state.folder.Close()
 		return nil, err
