--- a/lab/soak/overlaps.go
+++ b/lab/soak/overlaps.go
@@ -20,7 +20,8 @@
 var troubleKinds = []string{scenario.Kill, scenario.Restart, scenario.Stall, scenario.SignalSeries, scenario.ListDown, scenario.ListSlow, scenario.MoveAgent,
 	scenario.Drain, scenario.Hang, scenario.RefuseConnections, scenario.RejectAll, scenario.ChangeLimit, scenario.Surge, scenario.FailCalls, scenario.LoseAnswers,
 	scenario.ResetConnections, scenario.BreakReused, scenario.LateAnswers, scenario.TruncateAnswers, scenario.CorruptAnswers, scenario.CloseAfterAnswer,
-	scenario.SlowWriters, scenario.HalfRequests, scenario.ManyFields, scenario.WholeLarge, scenario.Flood, scenario.LeaveUnread}
+	scenario.SlowWriters, scenario.HalfRequests, scenario.ManyFields, scenario.WholeLarge, scenario.Flood, scenario.LeaveUnread,
+	scenario.PipelinedLarge, scenario.AnswersUnread, scenario.MetricsFlood}
 
 // newPair returns the pair of two kinds, given in any order.
 func newPair(a, b string) Pair { return Pair{min(a, b), max(a, b)} }
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -84,7 +84,8 @@
 		s.Troubles = append(s.Troubles, drawOutOfTurn(s, outOfTurn))
 	}
 	s.Troubles = append(s.Troubles, drawSameID(s, newRand(seed, sameIDStream))...)
-	if crowds := drawCrowds(s, newRand(seed, crowdStream)); len(crowds) > 0 {
+	crowds := append(drawCrowds(s, newRand(seed, crowdStream)), drawUnreadCrowd(s, newRand(seed, unreadCrowdStream))...)
+	if len(crowds) > 0 {
 		s.Troubles = append(s.Troubles, crowds...)
 		d.MemoryMB = crowdMemoryMB
 	}
@@ -121,6 +122,7 @@
 	copyStream
 	sameIDStream
 	crowdStream
+	unreadCrowdStream
 )
 
 // drawTrouble draws one fault.
@@ -255,6 +257,30 @@
 	return crowds
 }
 
+const (
+	// unreadCrowdShare is the share of the plans that have a crowd which sends faster than it is read or does not read.
+	unreadCrowdShare = 0.4
+	// The smallest and the largest number of clients of such a crowd.
+	minUnreadClients, maxUnreadClients = 10, 80
+)
+
+// unreadCrowdKinds lists the kinds of those crowds.
+var unreadCrowdKinds = []string{scenario.PipelinedLarge, scenario.AnswersUnread, scenario.MetricsFlood}
+
+// drawUnreadCrowd draws a crowd at one dispatcher that sends faster than it is read or does not read its answers, or none.
+func drawUnreadCrowd(s *scenario.Scenario, random *rand.Rand) []scenario.Trouble {
+	if random.Float64() >= unreadCrowdShare {
+		return nil
+	}
+	sockets := s.Dispatchers.Sockets
+	if hasFloods(s.Seed) {
+		sockets = floodSockets
+	}
+	return []scenario.Trouble{{Kind: unreadCrowdKinds[random.IntN(len(unreadCrowdKinds))], At: quietStart + random.Float64()*(s.Length-quietStart)/2,
+		Duration: 1 + 2*random.Float64(), Dispatchers: []int{random.IntN(s.Dispatchers.Count)},
+		Count: min(minUnreadClients+random.IntN(maxUnreadClients-minUnreadClients+1), sockets/descriptorsPerClient/maxCrowds)}}
+}
+
 // countDestinations returns the number of destinations in a scenario.
 func countDestinations(s *scenario.Scenario) int {
 	n := 0
