Mend: what waits to be sent is bounded; a page cut short ends its connection properly

The kernel adds to the last segment that waits, up to half of the peer's window, whatever the size of the buffer (33 to 46 KB queued in a buffer of 4.6).

The head of the metrics' response was written past the step that records why a connection ends, so the account of the connection missed that its client was gone. Both parts go through it now.

--- a/intake/client_io.go
+++ b/intake/client_io.go
@@ -235,6 +235,11 @@
 
 // Write writes a response and records that the current request was answered.
 func (c *clientConn) Write(b []byte) (int, error) {
+	return c.writePart(b, true)
+}
+
+// writePart writes a part of a response, and records that the current request was answered with the last one.
+func (c *clientConn) writePart(b []byte, last bool) (int, error) {
 	n, err := c.writeBytes(b)
 	c.listener.lock.Lock()
 	defer c.listener.lock.Unlock()
@@ -242,7 +247,7 @@
 	case c.reason == answerNotTaken: // it was let go meanwhile
 		return n, net.ErrClosed
 	case err == nil:
-		c.responded, c.heardAt = true, time.Now()
+		c.responded, c.heardAt = last, time.Now()
 	case syserr.ConnMayPass(err):
 		c.setReason(responseUnwritten)
 	default: // the client is gone, or does not take its response
@@ -252,6 +257,20 @@
 	return n, err
 }
 
+// awaitRoom waits until the client has taken most of what was written, and reports whether that came in time.
+func (c *clientConn) awaitRoom() bool {
+	until := time.Now().Add(ioTimeout)
+	waited := false
+	ok := sock.AwaitRoom(c.rawConn, func() bool { return c.isEvicted() || time.Now().After(until) }, func() {
+		waited = true
+		c.setStuck(true)
+	})
+	if waited && ok {
+		c.setStuck(false)
+	}
+	return ok
+}
+
 // writeBytes writes all of b, at most sock.MaxWrite bytes at a time, waiting while the socket's buffer is full. After an error that may pass it tries again with the
 // rest, until the write deadline.
 func (c *clientConn) writeBytes(b []byte) (written int, err error) {
@@ -261,6 +280,9 @@
 	var pause *syserr.Backoff
 	var lastErr error // that may pass
 	for {
+		if !c.awaitRoom() {
+			return written, os.ErrDeadlineExceeded
+		}
 		c.writing = attempt{buffer: b[written:min(written+sock.MaxWrite, len(b))]}
 		waitErr := c.rawConn.Write(c.tryWrite)
 		written, err = written+c.writing.n, c.writing.err
--- a/intake/response.go
+++ b/intake/response.go
@@ -54,7 +54,7 @@
 		_, err := c.Write(head)
 		return err
 	}
-	if _, err := c.writeBytes(head); err != nil {
+	if _, err := c.writePart(head, false); err != nil {
 		return err
 	}
 	_, err := c.Write(r.page)
--- a/sock/buffers.go
+++ b/sock/buffers.go
@@ -79,6 +79,28 @@
 	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, largeReceiveBytes)
 }
 
+// unsentRetryInterval is the time between two looks whether the other side has taken what was written.
+const unsentRetryInterval = time.Millisecond
+
+// AwaitRoom waits until less than MaxWrite bytes wait in the kernel to be sent, and reports whether that came before stop returned true.
+// The kernel adds to the last segment that waits, whatever the size of the buffer. waiting is called before the first wait.
+func AwaitRoom(raw syscall.RawConn, stop func() bool, waiting func()) bool {
+	for first := true; ; first = false {
+		unsent := 0
+		err := raw.Control(func(fd uintptr) { unsent, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQNSD) })
+		if err != nil || unsent < MaxWrite {
+			return true // the write tells the error
+		}
+		if first {
+			waiting()
+		}
+		if stop() {
+			return false
+		}
+		time.Sleep(unsentRetryInterval)
+	}
+}
+
 // The values of SO_MEMINFO (socket(7), sock_diag(7)): bytes received and unread, allocated ahead, queued to send, and received while the
 // socket was in use.
 const (
--- a/sock/retry.go
+++ b/sock/retry.go
@@ -50,6 +50,9 @@
 func (c *RetryingConn) Write(b []byte) (int, error) {
 	written := 0
 	for {
+		if !c.awaitRoom() {
+			return written, os.ErrDeadlineExceeded
+		}
 		n, err := c.writePart(b[written:min(written+MaxWrite, len(b))])
 		if written += n; err != nil || written == len(b) {
 			return written, err
@@ -57,6 +60,18 @@
 	}
 }
 
+// awaitRoom waits until the other side has taken most of what was written, and reports whether that came before the deadline.
+func (c *RetryingConn) awaitRoom() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	return AwaitRoom(raw, func() bool {
+		deadline := c.writeDeadline.Load()
+		return deadline != nil && !deadline.IsZero() && time.Now().After(*deadline)
+	}, func() {})
+}
+
 // writePart writes all of b, which the kernel may take as a whole.
 func (c *RetryingConn) writePart(b []byte) (int, error) {
 	written, err := c.Conn.Write(b)
