Crowd tests: memory apart from good clients; every socket has buffer sizes

TestKernelMemoryInCrowds had two kinds of checks. Nothing is left out.

TestEverySocketHasBufferSizes fails for a served package that opens a socket by itself.

--- a/dispatcher/resources_test.go
+++ b/dispatcher/resources_test.go
@@ -131,3 +131,26 @@
 		t.Errorf("docs/memory.md has a row for %s, which is not there", name)
 	}
 }
+
+// Guards against sockets for which the kernel's buffers grow without bound: only package sock opens any, and it sets their sizes.
+func TestEverySocketHasBufferSizes(t *testing.T) {
+	opens := regexp.MustCompile(`\bnet\.(Dial|Listen|DialTimeout|DialTCP|ListenTCP|Dialer|ListenConfig)\b`)
+	for _, folder := range servedPackages {
+		paths, err := filepath.Glob(filepath.Join("..", folder, "*.go"))
+		if err != nil || len(paths) == 0 {
+			t.Fatalf("%s: %d files, %v", folder, len(paths), err)
+		}
+		for _, path := range paths {
+			if folder == "sock" || strings.HasSuffix(path, "_test.go") {
+				continue
+			}
+			text, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if found := opens.Find(text); found != nil {
+				t.Errorf("%s opens a socket with %s: use package sock", path, found)
+			}
+		}
+	}
+}
--- a/lab/crowd_test.go
+++ b/lab/crowd_test.go
@@ -161,37 +161,64 @@
 	}
 }
 
-// Guards against a process that passes its limit by the memory that the kernel holds for its sockets, or neglects its usual clients,
-// because clients send faster than they are read or do not read their answers.
-func TestKernelMemoryInCrowds(t *testing.T) {
+// unreadCrowd is a play of clients that send faster than they are read, or do not read their answers.
+type unreadCrowd struct {
+	memoryMB float64
+	sockets  int
+	troubles []scenario.Trouble
+	killed   bool // the process is killed within the crowd, again and again
+}
+
+// unreadCrowds are the plays of such crowds, by name.
+var unreadCrowds = map[string]unreadCrowd{
+	"pipelined large":              {32, 1024, []scenario.Trouble{crowd(scenario.PipelinedLarge, 341)}, false},
+	"pipelined large, few sockets": {32, 256, []scenario.Trouble{crowd(scenario.PipelinedLarge, 85)}, false},
+	"pipelined and half requests":  {48, 1024, []scenario.Trouble{crowd(scenario.PipelinedLarge, 170), crowd(scenario.HalfRequests, 171)}, false},
+	"pipelined large, killed":      {48, 1024, []scenario.Trouble{crowd(scenario.PipelinedLarge, 341)}, true},
+	"answers unread":               {48, 1024, []scenario.Trouble{crowd(scenario.AnswersUnread, 341)}, false},
+	"metrics unread":               {64, 384, []scenario.Trouble{crowd(scenario.MetricsFlood, 60)}, false},
+	"metrics unread, many, killed": {64, 384, []scenario.Trouble{crowd(scenario.MetricsFlood, 600)}, true},
+}
+
+// playUnreadCrowds plays all such crowds and has each checked.
+func playUnreadCrowds(t *testing.T, check func(t *testing.T, play unreadCrowd, r *report.Result, j *record.Journal)) {
 	kills := []scenario.Trouble{{Kind: scenario.Kill, At: 1.5, Wait: 0.6}, {Kind: scenario.Kill, At: 2.4, Wait: 0.6}, {Kind: scenario.Kill, At: 3.3, Wait: 0.6}}
-	for name, test := range map[string]struct {
-		memoryMB float64
-		sockets  int
-		troubles []scenario.Trouble
-	}{
-		"pipelined large":              {32, 1024, []scenario.Trouble{crowd(scenario.PipelinedLarge, 341)}},
-		"pipelined large, few sockets": {32, 256, []scenario.Trouble{crowd(scenario.PipelinedLarge, 85)}},
-		"pipelined and half requests":  {48, 1024, []scenario.Trouble{crowd(scenario.PipelinedLarge, 170), crowd(scenario.HalfRequests, 171)}},
-		"pipelined large, killed":      {48, 1024, append([]scenario.Trouble{crowd(scenario.PipelinedLarge, 341)}, kills...)},
-		"answers unread":               {48, 1024, []scenario.Trouble{crowd(scenario.AnswersUnread, 341)}},
-		"metrics unread":               {64, 384, []scenario.Trouble{crowd(scenario.MetricsFlood, 60)}},
-		"metrics unread, many, killed": {64, 384, append([]scenario.Trouble{crowd(scenario.MetricsFlood, 600)}, kills...)},
-	} {
+	for name, play := range unreadCrowds {
 		t.Run(name, func(t *testing.T) {
-			r, j := playCrowd(t, crowdScenario(test.memoryMB, test.sockets, test.troubles...))
-			checkRules(t, r)
-			if r.NeglectedClients > 0 {
-				t.Errorf("%d connections of the crowd got neither an answer nor their end in time", r.NeglectedClients)
-			}
-			killed := slices.ContainsFunc(test.troubles, func(t scenario.Trouble) bool { return t.Kind == scenario.Kill })
-			if good := goodClientsOf(j); !killed && r.VoidReason == "" && (good.p99 > clientPatience || good.unanswered > 0 || good.refused > good.handIns/10) {
-				t.Errorf("good clients are answered late, refused or not answered: %+v", good)
+			troubles := slices.Clone(play.troubles)
+			if play.killed {
+				troubles = append(troubles, kills...)
 			}
+			r, j := playCrowd(t, crowdScenario(play.memoryMB, play.sockets, troubles...))
+			check(t, play, r, j)
 		})
 	}
 }
 
+// Guards against a process that ends, or passes its limit by the memory that the kernel holds for its sockets, because clients send faster
+// than they are read or do not read their answers.
+func TestKernelMemoryInCrowds(t *testing.T) {
+	playUnreadCrowds(t, func(t *testing.T, _ unreadCrowd, r *report.Result, _ *record.Journal) {
+		if broken := brokenRules(r); strings.Contains(broken, rules.Crash) {
+			t.Errorf("broken rules are %q; first violations: %v", broken, r.Violations[:min(3, len(r.Violations))])
+		}
+	})
+}
+
+// Guards against good clients that are answered late or not at all, broken rules, and connections left without an answer or an end,
+// beside the same crowds.
+func TestGoodClientsBesideUnreadCrowds(t *testing.T) {
+	playUnreadCrowds(t, func(t *testing.T, play unreadCrowd, r *report.Result, j *record.Journal) {
+		checkRules(t, r)
+		if r.NeglectedClients > 0 {
+			t.Errorf("%d connections of the crowd got neither an answer nor their end in time", r.NeglectedClients)
+		}
+		if good := goodClientsOf(j); !play.killed && r.VoidReason == "" && (good.p99 > clientPatience || good.unanswered > 0 || good.refused > good.handIns/10) {
+			t.Errorf("good clients are answered late, refused or not answered: %+v", good)
+		}
+	})
+}
+
 // allCrowds returns crowds of all kinds that hold memory, each with a number of clients.
 func allCrowds(clients int) []scenario.Trouble {
 	return []scenario.Trouble{crowd(scenario.SlowWriters, clients), crowd(scenario.HalfRequests, clients), crowd(scenario.ManyFields, clients),
