Mend: a used connection no longer makes room before an unused one that just came

Cause: let only connections go that had been silent for 20 ms, so the used one, which was silent for longer, came before unused ones that had just come. Under load the gap between them is longer than a look every 2 ms. The rule is as before: unused ones first, whatever their age; that a first request can cross the end of its connection is in the list of known failures.

--- a/intake/client_io.go
+++ b/intake/client_io.go
@@ -271,8 +271,8 @@
 	return ok
 }
 
-// writeBytes writes all of b, at most sock.MaxWrite bytes at a time, waiting while the socket's buffer is full. After an error that may pass it tries again with the
-// rest, until the write deadline.
+// writeBytes writes all of b, at most sock.MaxWrite bytes at a time, waiting while the socket's buffer is full. After an error that may
+// pass it tries again with the rest, until the write deadline.
 func (c *clientConn) writeBytes(b []byte) (written int, err error) {
 	if c.rawConn == nil {
 		return c.Conn.Write(b)
--- a/intake/clients.go
+++ b/intake/clients.go
@@ -155,12 +155,9 @@
 	}
 	for l.evictBy(permit.EvictStuck, 0) { // all of them: where there is one there are many, and the next connections wait
 	}
-	return l.addIfRoom(c) || (l.evictOne(clientPatience) || l.evictOne(crossingTime)) && l.addIfRoom(c)
+	return l.addIfRoom(c) || (l.evictOne(clientPatience) || l.evictOne(0)) && l.addIfRoom(c)
 }
 
-// crossingTime is how long a connection has to be silent to make room: a client that has just connected is writing its request.
-const crossingTime = 20 * time.Millisecond
-
 // evictionRule decides whether a connection may make room for another.
 type evictionRule func(c permit.ClientConn, minSilence time.Duration, unread func() permit.Unread) permit.Denial
 
