--- a/dispatcher/memory.go
+++ b/dispatcher/memory.go
@@ -31,7 +31,8 @@
 	})
 	a.room = admission.NewRoom(cfg.division, a.budget)
 	log.Info().Int("limit", a.limitBytes).Int("heap", a.division.HeapBytes).Int("sockets", a.division.SocketBytes).
-		Int("folder", a.division.FolderBytes).Int("reserve", a.division.ReserveBytes).Int("connections", a.division.MaxConnections).Int("backlog", a.division.Backlog).Int("calls", a.division.MaxCalls).
+		Int("folder", a.division.FolderBytes).Int("reserve", a.division.ReserveBytes).Int("connections", a.division.MaxConnections).
+		Int("backlog", a.division.Backlog).Int("calls", a.division.MaxCalls).
 		Int("messages", a.division.MaxMessages).Ints("accounts", a.division.Bytes[:]).Msg("memory divided")
 	return a
 }
--- a/dispatcher/memory_watch.go
+++ b/dispatcher/memory_watch.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"runtime"
 	"strconv"
 	"strings"
@@ -29,14 +28,14 @@
 
 // memoryByKind is everything that a limit on the memory of the process may count, in bytes, and what it stands for.
 type memoryByKind struct {
-	Resident    int `json:"resident"`
-	FilePages   int `json:"file_pages"` // part of Resident
-	Sockets     int `json:"sockets"`    // of the kernel, for open sockets; those in the accept queue are not seen
-	Folder      int `json:"folder"`
-	SocketCount int `json:"socket_count"`
-	Descriptors int `json:"descriptors"`
-	Goroutines  int `json:"goroutines"`
-	Threads     int `json:"threads"`
+	Resident    int
+	FilePages   int // part of Resident
+	Sockets     int // of the kernel, for open sockets; those in the accept queue are not seen
+	Folder      int
+	SocketCount int
+	Descriptors int
+	Goroutines  int
+	Threads     int
 }
 
 // total returns the sum of all memory in bytes.
@@ -85,7 +84,7 @@
 func folderBytes(path string) (bytes int) {
 	files, _ := os.ReadDir(path)
 	for _, file := range files {
-		if info, err := os.Lstat(filepath.Join(path, file.Name())); err == nil {
+		if info, err := file.Info(); err == nil {
 			bytes += int(info.Size())
 		}
 	}
