Mend: a connection whose first request is on its way is not closed while others are busy

Callers saw a connection that was just accepted closed before its request was read, where all other connections were busy and a further one came: it was the only one that could make room.

Change: permit.EvictFresh: a connection that is unused and has been silent for less than 20 ms makes room only in place of a used one that could go; else the new one waits (admit looks every 2 ms).

--- a/intake/client.go
+++ b/intake/client.go
@@ -151,7 +151,7 @@
 	return permit.ClientConn{ReadClosed: c.readClosed, EvictedMidway: c.evictedDuringRequest, RequestStarted: c.requestStarted,
 		RequestComplete: c.requestComplete, Responded: c.responded, Refused: c.refused, Pipelined: c.pipelined,
 		ClientGone: c.reason == closedByClient || c.reason == answerNotTaken, SilentFor: time.Since(c.heardAt),
-		AnswerStuckFor: c.stuckFor(), MessageAnswer: c.messageAnswer}
+		AnswerStuckFor: c.stuckFor(), MessageAnswer: c.messageAnswer, Used: c.servedBefore}
 }
 
 // stuckFor returns for how long the system has taken nothing more of an answer. The caller holds the lock.
--- a/intake/clients.go
+++ b/intake/clients.go
@@ -238,9 +238,27 @@
 
 // findEvictable returns the connection to evict, or nil if none may be evicted. The caller holds the lock.
 func (l *limitListener) findEvictable(minSilence time.Duration) *clientConn {
+	victim := l.firstEvictable(minSilence, false)
+	if victim == nil {
+		return nil
+	}
+	state := victim.state()
+	if permit.EvictFresh(state, false) == permit.Granted {
+		return victim
+	}
+	usedCouldGo := l.firstEvictable(minSilence, true) != nil
+	if permit.EvictFresh(state, usedCouldGo) != permit.Granted {
+		return nil
+	}
+	return victim
+}
+
+// firstEvictable returns the first connection to evict of all, or of those that were used, without regard to requests on their way. The
+// caller holds the lock.
+func (l *limitListener) firstEvictable(minSilence time.Duration, usedOnly bool) *clientConn {
 	var victim *clientConn
 	for candidate := range l.open {
-		if victim != nil && !candidate.evictBefore(victim) {
+		if usedOnly && !candidate.servedBefore || victim != nil && !candidate.evictBefore(victim) {
 			continue
 		}
 		if permit.Evict(candidate.state(), minSilence, candidate.unread) == permit.Granted {
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -35,6 +35,7 @@
 	AnswerStuckFor  time.Duration // for how long the system has taken nothing more of the current answer; 0 if it does
 	MessageAnswer   bool          // the current answer is one to a message
 	SilentFor       time.Duration // since it was accepted, or a byte was read from it or written to it
+	Used            bool          // a request on it was answered before
 }
 
 // Reasons concerning connections.
@@ -93,6 +94,19 @@
 	return Granted
 }
 
+// crossingTime is how long the first request of a connection, or its next part, may be on its way.
+const crossingTime = 20 * time.Millisecond
+
+// EvictFresh asks: may a connection that Evict lets go make room although its first request may be on its way? It may in place of a used one
+// that could go. Else the new connection waits.
+func EvictFresh(c ClientConn, usedCouldGo bool) Denial {
+	fresh := !c.Used && c.SilentFor < crossingTime
+	if fresh && !c.Refused && !AnswerStuck(c) && !usedCouldGo {
+		return RequestOnItsWay
+	}
+	return Granted
+}
+
 // EvictStuck asks: may the connection make room for another because its client does not read its answers?
 func EvictStuck(c ClientConn) Denial {
 	switch {
