Mend: a slow folder delays neither the start nor a planned stop by the word on the process

Cause, by reading: the state of the process for the log of the next one was written in the caller's turn, at a start, at each reading of the memory and at the end, under a lock that a slow write held: a planned stop waited for it.

Change: one goroutine writes, the latest state replaces one that waits, the end waits at most 0.1 s for its last word.

TestMemoryByKindIsTold waits for the last reading to stand in the folder; its checks are unchanged.

--- a/dispatcher/last_run.go
+++ b/dispatcher/last_run.go
@@ -29,11 +29,17 @@
 	Limit int       `json:"limit"`
 }
 
-// lastRunFile writes a lastRun. A nil lastRunFile writes nothing. It may be used concurrently.
+// lastWordPatience is how long the end of a process waits for its last word to be written.
+const lastWordPatience = 100 * time.Millisecond
+
+// lastRunFile writes a lastRun in the background, as nothing but a log depends on it and a write may be slow. A nil lastRunFile writes
+// nothing. It may be used concurrently.
 type lastRunFile struct {
-	file  disk.File
-	lock  sync.Mutex // guards ended
-	ended bool       // the last word is written
+	file    disk.File
+	lock    sync.Mutex    // guards ended and sending to next, never a write
+	ended   bool          // the last word is said
+	next    chan lastRun  // the latest one that is to be written
+	written chan struct{} // closed once the last word is written
 }
 
 // openLastRun logs what the process before left in a folder, and returns the file for this one. It is nil if that cannot be opened:
@@ -48,22 +54,58 @@
 	if err != nil {
 		return nil
 	}
-	f := &lastRunFile{file: file}
+	f := &lastRunFile{file: file, next: make(chan lastRun, 1), written: make(chan struct{})}
+	go f.writeAll()
 	f.save(lastRun{Ended: stillRunning, At: time.Now().UTC()})
 	return f
 }
 
-// save writes the state of the process. A failure is not told: the next reading is written again.
+// save has the state of the process written, in place of one that still waits to be, unless the last word is said.
 func (f *lastRunFile) save(run lastRun) {
 	if f == nil {
 		return
 	}
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	text, err := json.Marshal(run)
-	if err != nil || len(text) > lastRunBytes || f.ended {
+	if f.ended {
 		return
 	}
 	f.ended = run.Ended != stillRunning
+	select {
+	case <-f.next:
+	default:
+	}
+	f.next <- run
+}
+
+// saveLast has the last word written and waits for that, up to lastWordPatience.
+func (f *lastRunFile) saveLast(run lastRun) {
+	if f == nil {
+		return
+	}
+	f.save(run)
+	select {
+	case <-f.written:
+	case <-time.After(lastWordPatience):
+	}
+}
+
+// writeAll writes what is saved, up to the last word.
+func (f *lastRunFile) writeAll() {
+	for run := range f.next {
+		f.write(run)
+		if run.Ended != stillRunning {
+			close(f.written)
+			return
+		}
+	}
+}
+
+// write writes the state of the process. A failure is not told: the next reading is written again.
+func (f *lastRunFile) write(run lastRun) {
+	text, err := json.Marshal(run)
+	if err != nil || len(text) > lastRunBytes {
+		return
+	}
 	_, _ = f.file.WriteAt([]byte(string(text)+strings.Repeat(" ", lastRunBytes-len(text))), 0)
 }
--- a/dispatcher/memory_test.go
+++ b/dispatcher/memory_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -110,9 +111,71 @@
 	if lines := strings.Count(text.String(), `"message":"memory by kind"`); lines != 3 { // at 80, 95 and 10: 71 is within the margin
 		t.Errorf("%d lines:\n%s", lines, &text)
 	}
+	awaitLastRun(t, folder, `"total":10,`)
 	text.Reset()
 	openLastRun(folder, zerolog.New(&text))
 	if line := text.String(); !strings.Contains(line, `"ended":"no"`) || !strings.Contains(line, `"total":10,"peak":95,"limit":100`) {
 		t.Error(line)
 	}
 }
+
+// awaitLastRun waits until a text stands in the file about the process.
+func awaitLastRun(t *testing.T, folder disk.Folder, text string) {
+	t.Helper()
+	written := ""
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		if written, _ = disk.ReadFile(folder, lastRunName, lastRunBytes); strings.Contains(written, text) {
+			return
+		}
+	}
+	t.Errorf("%s is missing in %q", text, written)
+}
+
+// blockedFolder is a folder whose writes end only once free is closed.
+type blockedFolder struct {
+	disk.Folder
+	free chan struct{}
+}
+
+// blockedFile is a file of a blockedFolder.
+type blockedFile struct {
+	disk.File
+	free chan struct{}
+}
+
+func (f blockedFolder) Create(name string) (disk.File, error) {
+	file, err := f.Folder.Create(name)
+	return blockedFile{file, f.free}, err
+}
+
+func (f blockedFile) WriteAt(b []byte, offset int64) (int, error) {
+	<-f.free
+	return f.File.WriteAt(b, offset)
+}
+
+// Guards against a start, a reading of the memory or a planned stop that waits for a slow folder, and against a last word that a later
+// reading replaces.
+func TestSlowFolderDelaysNoEnd(t *testing.T) {
+	folder, err := disk.OpenDir(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer folder.Close()
+	free, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		w := &memoryWatch{limitBytes: 100, log: zerolog.Nop(), lastRun: openLastRun(blockedFolder{folder, free}, zerolog.Nop())}
+		w.note(memoryByKind{Resident: 10})
+		w.ended(endPlanned)
+		w.note(memoryByKind{Resident: 20})
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(10 * lastWordPatience):
+		t.Error("the end waits for the folder")
+	}
+	close(free)
+	<-ended
+	awaitLastRun(t, folder, `{"ended":"`+endPlanned+`"`)
+	awaitLastRun(t, folder, `"total":10,`)
+}
--- a/dispatcher/memory_watch.go
+++ b/dispatcher/memory_watch.go
@@ -17,8 +17,6 @@
 const (
 	// memoryWatchInterval is the time between two readings of the memory of the process.
 	memoryWatchInterval = 500 * time.Millisecond
-	// socketStructureBytes is counted for each socket beside its buffers: its structures in the kernel.
-	socketStructureBytes = 4096
 	// fallShare is how far the memory has to fall below a level, as a part of the limit, to count as below it.
 	fallShare = 0.05
 )
@@ -84,7 +82,7 @@
 		}
 		if bytes, err := sock.BufferedBytes(fd); err == nil {
 			m.SocketCount++
-			m.Sockets += bytes + socketStructureBytes
+			m.Sockets += bytes + sock.StructureBytes
 		}
 	}
 }
@@ -148,12 +146,12 @@
 	w.lastRun.save(run)
 }
 
-// ended saves why the process ends.
+// ended saves why the process ends, and waits for a moment until that is written.
 func (w *memoryWatch) ended(why string) {
 	w.lock.Lock()
 	run := lastRun{Ended: why, At: time.Now().UTC(), Total: w.latest.total(), Peak: w.peak, Limit: w.limitBytes}
 	w.lock.Unlock()
-	w.lastRun.save(run)
+	w.lastRun.saveLast(run)
 }
 
 // reading returns the latest reading and the largest sum so far, in bytes.
