--- a/lab/fleet/sockets.go
+++ b/lab/fleet/sockets.go
@@ -11,6 +11,8 @@
 
 	"github.com/prometheus/procfs"
 	"golang.org/x/sys/unix"
+
+	"orchiddrift/sock"
 )
 
 // socketMemory is the memory that the kernel holds for a TCP socket.
@@ -32,8 +34,6 @@
 const (
 	sockDiagByFamily  = 20 // SOCK_DIAG_BY_FAMILY
 	inetDiagSKMemInfo = 7  // INET_DIAG_SKMEMINFO
-	// structureBytes is charged for a socket's structures: the socket, its inode, its file and its entry in the poller.
-	structureBytes = 4096
 	// diagTimeout bounds the wait for the kernel's answer.
 	diagTimeout = time.Second
 )
@@ -104,7 +104,7 @@
 	if len(data) < diagMessageSize {
 		return s, false
 	}
-	s = socketMemory{inode: binary.NativeEndian.Uint32(data[diagInode:]), bytes: structureBytes,
+	s = socketMemory{inode: binary.NativeEndian.Uint32(data[diagInode:]), bytes: sock.StructureBytes,
 		local: netip.AddrPortFrom(netip.AddrFrom4([4]byte(data[diagSourceAddr:])), binary.BigEndian.Uint16(data[diagSourcePort:]))}
 	for attributes := data[diagMessageSize:]; len(attributes) >= unix.SizeofRtAttr; {
 		size := int(binary.NativeEndian.Uint16(attributes))
--- a/sock/buffers.go
+++ b/sock/buffers.go
@@ -24,6 +24,8 @@
 	acceptedSendBytes = 2304
 	// dialledBytes is the size of both buffers of a connection to an endpoint or the agent.
 	dialledBytes = 4096
+	// StructureBytes is counted for a socket beside its buffers: its structures in the kernel, its inode, its file and its entry in the poller.
+	StructureBytes = 4096
 	// MaxWrite is the most that is written at a time. The kernel takes one write as a whole, whatever the size of the buffer.
 	MaxWrite = 2048
 	// unsentTimeout is how long the kernel keeps what the other side does not take, also once the connection is closed.
--- a/sock/buffers_test.go
+++ b/sock/buffers_test.go
@@ -12,9 +12,6 @@
 	"orchiddrift/sock"
 )
 
-// structureBytes is what the kernel holds for a socket beside its buffers.
-const structureBytes = 4096
-
 // fill writes to a connection until nothing more is taken, a chunk at a time.
 func fill(t *testing.T, conn net.Conn, chunk int) {
 	t.Helper()
@@ -64,7 +61,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if held := bufferedBytes(t, served) + structureBytes; queued && held > admission.QueuedSocketBytes+structureBytes/2 {
+			if held := bufferedBytes(t, served) + sock.StructureBytes; queued && held > admission.QueuedSocketBytes+sock.StructureBytes/2 {
 				t.Errorf("chunks of %d: %d bytes for a connection in the queue", chunk, held)
 			}
 			limit := admission.ClientSocketBytes
@@ -75,7 +72,7 @@
 			}
 			fill(t, client, chunk)
 			fill(t, sock.NewRetryingConn(served, nil, "", ""), chunk)
-			if held := bufferedBytes(t, served) + structureBytes; held > limit {
+			if held := bufferedBytes(t, served) + sock.StructureBytes; held > limit {
 				t.Errorf("chunks of %d, large %v: %d bytes, %d are charged", chunk, large, held, limit)
 			}
 			_, _ = client.Close(), served.Close()
@@ -103,7 +100,7 @@
 		}
 		fill(t, endpoint, chunk)
 		fill(t, sock.NewRetryingConn(conn, nil, "", ""), chunk)
-		if held := bufferedBytes(t, conn) + structureBytes; held > admission.OutgoingSocketBytes {
+		if held := bufferedBytes(t, conn) + sock.StructureBytes; held > admission.OutgoingSocketBytes {
 			t.Errorf("chunks of %d: %d bytes, %d are charged", chunk, held, admission.OutgoingSocketBytes)
 		}
 		go func() { _, _ = io.Copy(io.Discard, endpoint) }()
