Logs and metrics: the runtime's limit and how often it has collected

They would have told why good clients were late beside crowds: 110 collections a second at a limit that left no room. TestMemoryIsTold fails without them.

--- a/dispatcher/memory.go
+++ b/dispatcher/memory.go
@@ -57,6 +57,8 @@
 	gauge("descriptors", "", latest.Descriptors)
 	gauge("goroutines", "", latest.Goroutines)
 	gauge("threads", "", latest.Threads)
+	gauge("runtime_limit_bytes", "", latest.RuntimeLimit)
+	gauge("collections_total", "", latest.Collections)
 	for _, usage := range a.budget.Usage() {
 		gauge("account_bytes", usage.Purpose.String(), usage.Capacity)
 		gauge("reserved_bytes", usage.Purpose.String(), usage.Reserved)
--- a/dispatcher/memory_test.go
+++ b/dispatcher/memory_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -83,6 +84,7 @@
 		t.Errorf("logged %q", messages)
 	}
 	var metrics bytes.Buffer
+	runtime.GC()
 	a.watch.note(readMemory(t.TempDir()))
 	a.write(&metrics)
 	for _, series := range []string{"orchiddrift_memory_limit_bytes 32000000\n", `orchiddrift_memory_refusals_total{purpose="requests"} 3`,
@@ -91,8 +93,10 @@
 			t.Errorf("%q is missing in\n%s", series, &metrics)
 		}
 	}
-	if strings.Contains(metrics.String(), "orchiddrift_memory_resident_bytes 0\n") {
-		t.Error("the resident memory is not told")
+	for _, gauge := range []string{"resident_bytes", "runtime_limit_bytes", "collections_total"} {
+		if strings.Contains(metrics.String(), "orchiddrift_memory_"+gauge+" 0\n") || !strings.Contains(metrics.String(), "orchiddrift_memory_"+gauge+" ") {
+			t.Errorf("%s is not told", gauge)
+		}
 	}
 }
 
--- a/dispatcher/memory_watch.go
+++ b/dispatcher/memory_watch.go
@@ -34,6 +34,8 @@
 	Descriptors int
 	Goroutines  int
 	Threads     int
+	// RuntimeLimit is the runtime's limit, in bytes, and Collections how often it has collected so far.
+	RuntimeLimit, Collections int
 }
 
 // total returns the sum of all memory in bytes.
@@ -43,6 +45,7 @@
 func readMemory(stateDir string) memoryByKind {
 	m := memoryByKind{Goroutines: runtime.NumGoroutine(), Folder: folderBytes(stateDir)}
 	m.Resident, m.FilePages, _ = residentBytes()
+	m.RuntimeLimit, m.Collections = runtimeState()
 	if status, err := os.ReadFile("/proc/self/status"); err == nil {
 		if _, after, found := strings.Cut(string(status), "\nThreads:\t"); found {
 			_, _ = fmt.Sscan(after, &m.Threads)
@@ -141,7 +144,8 @@
 	if changed {
 		w.log.Warn().Int("total", run.Total).Int("limit", w.limitBytes).Int("resident", m.Resident).Int("file_pages", m.FilePages).
 			Int("sockets", m.Sockets).Int("folder", m.Folder).Int("socket_count", m.SocketCount).Int("descriptors", m.Descriptors).
-			Int("goroutines", m.Goroutines).Int("threads", m.Threads).Msg("memory by kind")
+			Int("goroutines", m.Goroutines).Int("threads", m.Threads).Int("runtime_limit", m.RuntimeLimit).
+			Int("collections", m.Collections).Msg("memory by kind")
 	}
 	w.lastRun.save(run)
 }
--- a/dispatcher/runtime_limit.go
+++ b/dispatcher/runtime_limit.go
@@ -80,3 +80,10 @@
 	m.Objects, m.Free, m.Live = value(sampleObjects), value(sampleFree), value(sampleLive)
 	return m, true
 }
+
+// runtimeState returns the limit of the runtime, in bytes, and how often it has collected so far.
+func runtimeState() (limitBytes, collections int) {
+	cycles := []metrics.Sample{{Name: "/gc/cycles/total:gc-cycles"}}
+	metrics.Read(cycles)
+	return int(debug.SetMemoryLimit(-1)), int(cycles[0].Value.Uint64())
+}
