--- a/dispatcher/runtime_limit.go
+++ b/dispatcher/runtime_limit.go
@@ -11,7 +11,7 @@
 const (
 	// runtimeLimitInterval is the time between two adjustments of the runtime's limit.
 	runtimeLimitInterval = 100 * time.Millisecond
-	// leastLimitChange is the smallest change, in bytes, of the runtime's limit: each one stops the process for a moment.
+	// leastLimitChange is the smallest change, in bytes, of the runtime's limit: each one takes the lock of the heap.
 	leastLimitChange = 128_000
 )
 
