Model check: a kill at the first byte of a call is an attempt for its messages

Change: the write at which the process is killed counts as an attempt for the messages that stand in it, and for no others.

--- a/lab/modelcheck/judge.go
+++ b/lab/modelcheck/judge.go
@@ -36,7 +36,7 @@
 	finalAt       float64  // when it was delivered, or its notice acknowledged; 0: neither
 	finalBy       *process // the process that delivered it; nil if none did
 	firstNoticeAt float64  // when its first notice arrived; 0: none
-	attempts      int      // connection attempts since its hand-in, including failed ones
+	attempts      int      // connection attempts since its hand-in, including failed ones, and calls at whose first byte the process was killed
 }
 
 // call is the part of a call that carries one message, as its endpoint saw it.
@@ -92,6 +92,15 @@
 	}
 }
 
+// callAttempted records a call at whose first byte its process was killed.
+func (chk *checker) callAttempted(ids []string) {
+	chk.mu.Lock()
+	defer chk.mu.Unlock()
+	for _, id := range ids {
+		chk.message(id).attempts++
+	}
+}
+
 // callStarted checks the start of a call, at its first byte, and records it.
 func (chk *checker) callStarted(now float64, id, endpoint, zone string, process *process) *call {
 	chk.mu.Lock()
--- a/lab/modelcheck/modelcheck_test.go
+++ b/lab/modelcheck/modelcheck_test.go
@@ -152,6 +152,15 @@
 	r.wait()
 }
 
+// Guards against a judge that takes it for a message given up without an attempt if its process was killed at the first byte of its call, on
+// a connection that was made before the message came.
+func TestKilledAtFirstByteOfCall(t *testing.T) {
+	plan := Plan{Topic: "once", SharedCalls: true, ExtraMessagesAt: 0.25, Processes: []Process{{Attempts: []AttemptOutcome{ToldWaitOnConnect}, KillAtOp: 13, Lifetime: 1}}}
+	if found, operations := runPlan(t, plan, NoFault); len(found) > 0 || operations[0] < plan.Processes[0].KillAtOp {
+		t.Errorf("%v: %q, operations %v", plan, found, operations)
+	}
+}
+
 // Runs longer random series: up to five processes, several outcomes of attempts in each, all list modes, disk faults,
 // graceful stops and unanswered notices.
 func TestRandomSeries(t *testing.T) {
