Mend: the runtime's limit is never lower than the heap of the division

The race run of dispatcher timed out after 300 s in TestRestartWithManyPending, beside three busy processes: where much else is resident (the race detector's own memory there), the limit fell to the least garbage, and the collector ran again and again. What is mapped within the heap's size is within its part, whatever else is resident, so the limit need not be lower.

--- a/admission/runtime_limit.go
+++ b/admission/runtime_limit.go
@@ -19,9 +19,9 @@
 // RuntimeLimit returns the limit, in bytes, to set for the runtime, so that the program and the heap stay within their part of the division.
 // The runtime counts all that it has mapped, also tables that are filled only as the heap grows; the limit of the process counts what is
 // resident. Where what is in use leaves no room, a lower limit would make the collector run without end and free nothing: accounts bound
-// what is in use.
+// what is in use. Nor is it lower than the heap: what is mapped within that is within its part, whatever else is resident.
 func (d Division) RuntimeLimit(m RuntimeMemory) int {
 	unused := programBytes + d.HeapBytes - m.Resident
 	beside := m.Mapped - m.Objects - m.Free
-	return max(m.Mapped+unused, beside+m.Live+leastGarbage+collectorMargin)
+	return max(d.HeapBytes, m.Mapped+unused, beside+m.Live+leastGarbage+collectorMargin)
 }
