--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -332,69 +332,92 @@
 	})
 }
 
-// playDrain plays two dispatchers that are told of a drain. One of them is killed then, and starts again while discovery is down.
-func playDrain(r *rig) (int, string) {
-	const drainAt, downAt, downFor, killAt, grace = 4.0, 6.0, 8.0, 6.5, 0.5
+// playForeign plays three dispatchers that are told that an endpoint is gone, and that a server of another partner stands at its address.
+// One of them is killed then, and starts again; discovery is down in that time.
+func playForeign(r *rig) (int, string) {
+	const drainAt, goneAt, reusedAt, downAt, downFor, killAt, restartAfter, loadUntil, grace = 3.0, 4.0, 5.0, 7.0, 8.0, 7.5, 0.6, 16.0, 0.5
+	told := reusedAt + 6 // the latest time of all sentences: 6 s after discovery had it and could be reached
 	var lock sync.Mutex
-	var late []string
-	told := drainAt + 6 // the latest time of all sentences: 6 s after discovery had it and could be reached
-	calls := map[string]int{}
-	serve := func(id string) func(w http.ResponseWriter, c call) {
+	calls, wrong, late := map[string]int{}, 0, map[string]int{}
+	classOf := map[string]string{}
+	serve := func(name string, dest byte) func(w http.ResponseWriter, c call) {
 		return func(w http.ResponseWriter, c call) {
 			lock.Lock()
-			calls[id]++
-			tooLate := id == "s-1" && c.at > told+grace+2*tolerance
-			if tooLate {
-				late = append(late, c.id)
+			calls[name]++
+			foreign := c.id[0] != dest
+			if foreign {
+				wrong++
 			}
-			lock.Unlock()
-			r.note("%s got %s", id, c.id)
-			if tooLate {
-				w.WriteHeader(http.StatusServiceUnavailable) // it drains and wants nothing new
-				return
+			if foreign && c.at > told+grace+2*tolerance {
+				late[classOf[c.id]]++
 			}
-			time.Sleep(150 * time.Millisecond)
+			lock.Unlock()
+			r.note("%s got %s", name, c.id)
+			time.Sleep(50 * time.Millisecond)
 			w.WriteHeader(http.StatusOK)
 		}
 	}
-	a := r.startAgent(
-		server{ID: "s-1", Addr: r.startEndpoint("s-1", serve("s-1")), Zone: "here", Kind: "bulk-partners", Cell: 1, State: "ready", Weight: 80},
-		server{ID: "s-2", Addr: r.startEndpoint("s-2", serve("s-2")), Zone: "here", Kind: "bulk-partners", Cell: 1, State: "ready", Weight: 80})
+	entry := func(id, addr string, dest int, state string) server {
+		return server{ID: id, Addr: addr, Zone: "here", Kind: "bulk-partners", Cell: dest, State: state, Weight: 80}
+	}
+	old := r.startSwitchable("s-1, of partner 1", serve("s-1, of partner 1", '1'))
+	second := r.startEndpoint("s-2, of partner 2", serve("s-2, of partner 2", '2'))
+	a := r.startAgent(entry("s-1", old.addr, 1, "ready"), entry("s-2", second, 2, "ready"))
 	var dispatchers []*process
-	for _, name := range []string{"n1", "n2"} {
-		d := r.newDispatcher(name, a.addr, config(a.full(), map[string]any{"balancers": 2}))
+	for _, name := range []string{"n1", "n2", "n3"} {
+		d := r.newDispatcher(name, a.addr, config(a.full(), map[string]any{"balancers": 3}))
 		d.start()
 		dispatchers = append(dispatchers, d)
 	}
 	var open sync.WaitGroup
-	for _, d := range dispatchers {
+	for i, d := range dispatchers {
 		client := newTransport()
 		open.Go(func() {
-			r.load(client, d, 1, 17, 30, func(n int) message {
-				return message{id: fmt.Sprintf("%s%014x", d.name, n), class: "meter-status", tenant: "acme", dest: 1, budget: 16 * time.Second}
+			r.load(client, d, 1, loadUntil, 20, func(n int) message {
+				m := message{dest: 1 + n%2, class: "meter-status", tenant: "acme", budget: 12 * time.Second}
+				m.id = fmt.Sprintf("%d-%d-%08x", m.dest, i, n)
+				if n/2%2 == 1 {
+					m.class, m.key = "token-purchase", fmt.Sprintf("account-%d-%d", i, n)
+				}
+				lock.Lock()
+				classOf[m.id] = m.class
+				lock.Unlock()
+				return m
 			})
 		})
 	}
 	r.until(drainAt)
-	a.setState("s-1", "draining")
+	replacement := r.startEndpoint("s-3, of partner 1", serve("s-3, of partner 1", '1'))
+	a.change(entry("s-1", old.addr, 1, "draining"), entry("s-3", replacement, 1, "ready"))
+	r.until(goneAt)
+	a.change(entry("s-1", old.addr, 1, "gone"))
+	r.until(reusedAt)
+	old.become("s-4, of partner 2, at the address of s-1", serve("s-4, of partner 2, at the address of s-1", '2'))
+	a.change(entry("s-4", old.addr, 2, "ready"))
+	r.until(downAt)
 	if r.trouble {
-		r.until(downAt)
 		a.setSilent(true)
-		r.until(killAt)
-		dispatchers[0].kill()
-		time.Sleep(600 * time.Millisecond)
-		dispatchers[0].start()
-		r.until(downAt + downFor)
-		a.setSilent(false)
 	}
+	r.until(killAt)
+	dispatchers[0].kill()
+	time.Sleep(time.Duration(restartAfter * float64(time.Second)))
+	dispatchers[0].start()
+	r.until(downAt + downFor)
+	a.setSilent(false)
 	open.Wait()
+	time.Sleep(time.Second)
 	lock.Lock()
 	defer lock.Unlock()
-	text := fmt.Sprintf("%d calls to the draining endpoint later than the grace, first %v; calls: %v", len(late), late[:min(1, len(late))], calls)
+	lateCalls := 0
+	for _, n := range late {
+		lateCalls += n
+	}
+	text := fmt.Sprintf("%d calls with messages for partner 1 came to a server of partner 2 at the address of an endpoint that is gone, %d of them later than any sentence allows (by topic type: %v); calls: %v",
+		wrong, lateCalls, late, calls)
 	switch {
-	case calls["s-2"] < 50:
+	case calls["s-3, of partner 1"] < 50 || calls["s-4, of partner 2, at the address of s-1"] == 0:
 		return void, "too few calls: " + text
-	case len(late) > 0:
+	case lateCalls > 0:
 		return broken, text
 	}
 	return held, text
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -43,7 +44,7 @@
 // main plays the case that the first argument names and writes the record to the file that the second one names.
 func main() {
 	cases := map[string]func(*rig) (int, string){"order": playOrder, "shut": playShutTold,
-		"drain": playDrain}
+		"foreign": playForeign}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig2 CASE RECORD, from the root of the repository")
 		os.Exit(void)
@@ -261,19 +262,24 @@
 	return list{a.version, true, append([]server(nil), a.servers...)}
 }
 
-// setState changes the state of an endpoint. The agent has the change at once.
-func (a *agent) setState(id, state string) {
+// change lists new and changed endpoints. The agent has the change at once. An endpoint that is gone is only told among changes.
+func (a *agent) change(entries ...server) {
 	a.lock.Lock()
 	a.version++
-	for i := range a.servers {
-		if a.servers[i].ID == id {
-			a.servers[i].State, a.changed[id] = state, a.version
+	for _, e := range entries {
+		a.changed[e.ID] = a.version
+		if i := slices.IndexFunc(a.servers, func(s server) bool { return s.ID == e.ID }); i >= 0 {
+			a.servers[i] = e
+		} else {
+			a.servers = append(a.servers, e)
 		}
 	}
 	close(a.wake)
 	a.wake = make(chan struct{})
 	a.lock.Unlock()
-	a.rig.note("the agent has: %s is %s", id, state)
+	for _, e := range entries {
+		a.rig.note("the agent has: %s of partner %d at %s is %s", e.ID, e.Cell, e.Addr, e.State)
+	}
 }
 
 // setSilent begins or ends an outage of discovery.
@@ -299,7 +305,7 @@
 		silent, version, wake := a.silent, a.version, a.wake
 		answer := list{Version: version, Full: !watch, Servers: []server{}}
 		for _, s := range a.servers {
-			if !watch || a.changed[s.ID] > from {
+			if !watch && s.State != "gone" || watch && a.changed[s.ID] > from {
 				answer.Servers = append(answer.Servers, s)
 			}
 		}
@@ -352,8 +358,34 @@
 
 // startEndpoint starts an endpoint, which answers each call with serve, and returns its address.
 func (r *rig) startEndpoint(name string, serve func(w http.ResponseWriter, c call)) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return r.startSwitchable(name, serve).addr
+}
+
+// switchable is an endpoint in whose place another one can start, at the same address.
+type switchable struct {
+	rig  *rig
+	addr string
+	http *http.Server
+}
+
+// startSwitchable starts an endpoint that another one can replace.
+func (r *rig) startSwitchable(name string, serve func(w http.ResponseWriter, c call)) *switchable {
+	s := &switchable{rig: r}
+	s.listen("127.0.0.1:0", name, serve)
+	return s
+}
+
+// become ends the endpoint and its connections, and starts another one at its address.
+func (s *switchable) become(name string, serve func(w http.ResponseWriter, c call)) {
+	must(s.http.Close())
+	s.listen(s.addr, name, serve)
+}
+
+// listen starts to serve at an address.
+func (s *switchable) listen(addr, name string, serve func(w http.ResponseWriter, c call)) {
+	ln, err := net.Listen("tcp", addr)
 	must(err)
+	r := s.rig
 	handler := http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		body, err := io.ReadAll(req.Body)
 		if err != nil {
@@ -366,9 +398,10 @@
 		}
 		serve(w, c)
 	})
-	go func() { _ = http.Serve(ln, handler) }()
-	r.note("endpoint %s", name)
-	return ln.Addr().String()
+	s.addr, s.http = ln.Addr().String(), &http.Server{Handler: handler}
+	server := s.http
+	go func() { _ = server.Serve(ln) }()
+	r.note("endpoint %s at %s", name, s.addr)
 }
 
 // message is what a client hands in.
