A new process goes by the list that the one before was told, not by the configuration's

Cause: the list lived in the process, and `known` of the configuration stood in for it at each start.

Change: package endpointstate keeps the list in two files of the lasting folder, whole and then by changes, written by a goroutine as updates are applied. The next process chooses between it and `known` (permit.ChooseStartList) and watches from the kept version. Damaged, foreign or newer files are not used, and the log says why. A tenth of the folder is taken off the ledger's part.

--- a/admission/division.go
+++ b/admission/division.go
@@ -39,7 +39,9 @@
 	reserveShare = 1.0 / 32
 	// maxFolderShare is the largest part of the limit that the lasting folder may take: where it is kept in memory, its files count.
 	maxFolderShare = 1.0 / 8
-	// ledgerShare is the part of the lasting folder that bodies of messages can take: records of large ones fill their segments badly.
+	// endpointFileShare is the part of the lasting folder for the files with the list of endpoints.
+	endpointFileShare = 0.1
+	// ledgerShare is the part of the rest of the lasting folder that bodies of messages can take: records of large ones fill their segments badly.
 	ledgerShare = 0.5
 	// workingShare is the part of the heap's limit, without that for connections, that reserved bytes may take. The rest is for what is
 	// garbage until the next collection: with less, the collector would run without end.
@@ -104,17 +106,18 @@
 
 // Division is how the limits of a process are divided.
 type Division struct {
-	HeapBytes      int               // limit for the runtime: heap, stacks and its own tables
-	Bytes          [purposeCount]int // by purpose; parts of HeapBytes, but for ReceiveBuffers
-	SocketBytes    int               // of the kernel, for all sockets
-	FolderBytes    int               // largest size of the lasting folder
-	ReserveBytes   int               // in no account
-	MaxConnections int               // of clients
-	Backlog        int               // connections that may wait to be accepted
-	MaxCalls       int               // in flight
-	MaxMessages    int               // without a final answer, those with a notice on its way included
-	MaxEndpoints   int               // in the list
-	ScarceBytes    int               // of messages: what memory and the lasting folder can both hold
+	HeapBytes         int               // limit for the runtime: heap, stacks and its own tables
+	Bytes             [purposeCount]int // by purpose; parts of HeapBytes, but for ReceiveBuffers
+	SocketBytes       int               // of the kernel, for all sockets
+	FolderBytes       int               // largest size of the lasting folder
+	EndpointFileBytes int               // part of it for the files with the list of endpoints
+	ReserveBytes      int               // in no account
+	MaxConnections    int               // of clients
+	Backlog           int               // connections that may wait to be accepted
+	MaxCalls          int               // in flight
+	MaxMessages       int               // without a final answer, those with a notice on its way included
+	MaxEndpoints      int               // in the list
+	ScarceBytes       int               // of messages: what memory and the lasting folder can both hold
 }
 
 // noticeAllowance is how many messages may wait for the answer to their notice, beside those held.
@@ -137,6 +140,7 @@
 func divide(l Limits) Division {
 	d := Division{MaxMessages: l.MaxMessages + noticeAllowance, ReserveBytes: int(reserveShare * float64(l.MemoryBytes)),
 		FolderBytes: min(l.DiskBytes, int(maxFolderShare*float64(l.MemoryBytes)))}
+	d.EndpointFileBytes = int(endpointFileShare * float64(d.FolderBytes))
 	available := l.MemoryBytes - programBytes - d.FolderBytes - d.ReserveBytes
 	free := float64(available) - baseHeapBytes/workingShare
 	for _, bytes := range leastBytes {
@@ -156,7 +160,7 @@
 	d.HeapBytes = available - d.SocketBytes
 	d.divideHeap()
 	d.MaxEndpoints = d.Bytes[List] / endpointBytes
-	d.ScarceBytes = min(d.Bytes[Messages], int(ledgerShare*float64(d.FolderBytes)))
+	d.ScarceBytes = min(d.Bytes[Messages], int(ledgerShare*float64(d.FolderBytes-d.EndpointFileBytes)))
 	return d
 }
 
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -1,7 +1,10 @@
 // Package directory stores the endpoints as last listed by the platform. It makes no decisions.
 package directory
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // Stages of an endpoint, as the platform reports them.
 const (
@@ -69,6 +72,16 @@
 	return ok || len(d.byDest) == 0
 }
 
+// Destinations returns the known destinations in a fixed order, those without endpoints included.
+func (d *Directory) Destinations() []string { return slices.Sorted(maps.Keys(d.byDest)) }
+
+// AddDestination makes a destination known that may have no endpoints.
+func (d *Directory) AddDestination(dest string) {
+	if _, ok := d.byDest[dest]; !ok {
+		d.byDest[dest] = nil
+	}
+}
+
 // Contains reports whether an endpoint is listed.
 func (d *Directory) Contains(id string) bool { _, ok := d.positions[id]; return ok }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -51,7 +51,7 @@
 		return ignoreStopped(err)
 	}
 	defer p.state.folder.Close()
-	go watchReloads(reloadSignals, system, cfg, p.agent, p.errors, log)
+	go watchReloads(reloadSignals, system, cfg, p.agent, p.lists, p.errors, log)
 	err = p.run()
 	why := endPlanned
 	if err != nil {
--- a/dispatcher/process.go
+++ b/dispatcher/process.go
@@ -12,6 +12,7 @@
 
 	"orchiddrift/admission"
 	"orchiddrift/directory"
+	"orchiddrift/endpointstate"
 	"orchiddrift/exchange"
 	"orchiddrift/gateway"
 	"orchiddrift/intake"
@@ -41,6 +42,7 @@
 	exchanges  *exchange.Recorder
 	invariants *invariant.Counters
 	agent      *platform.Agent
+	lists      listKeeper
 	runner     *gateway.Runner
 	admission  *memoryAdmission
 }
@@ -54,20 +56,23 @@
 	}
 	parts.scheduler.LimitCalls(cfg.division.MaxCalls)
 	startup.enableLog(startup.log)
-	dir.Replace(cfg.Known.Endpoints())
 	p := &process{system: system, cfg: cfg, startup: startup, log: startup.log, parts: parts, errors: syserr.NewRecorder(startup.log),
 		exchanges:  exchange.NewRecorder(startup.log),
 		invariants: &invariant.Counters{Log: startup.log, Strict: system.PanicOnViolation}}
 	err = startup.retry("folder", func() (err error) {
-		p.state, err = openState(system, cfg, p.log, time.Since(startup.startedAt) > clockRetryTimeout)
+		p.state, err = openState(system, cfg, p.log, time.Since(startup.startedAt) > optionalStateTimeout)
 		return err
 	})
 	if err != nil {
 		return nil, err
 	}
+	list := chooseStartList(cfg, p.state.list.state, p.log)
+	list.fill(dir)
+	p.lists = newListKeeper(p.state.list.store, list.head, p.errors, p.log)
+	p.lists.SetConfigured(endpointstate.Digest(cfg.Known))
 	p.admission = newMemoryAdmission(cfg, cfg.admissionLimits().MemoryBytes, p.log)
 	p.admission.watch.lastRun = openLastRun(p.state.folder, p.log)
-	p.agent = platform.NewAgent(cfg.Discovery, cfg.Known.Version, p.log)
+	p.agent = platform.NewAgent(cfg.Discovery, list.watchFrom, p.log)
 	p.agent.SetMaxEntries(p.admission.division.MaxEndpoints)
 	p.agent.SetDialer(platform.Dialer(p.dialer(exchange.Agent, system.DialAgent, syserr.AgentDial, syserr.AgentRead, syserr.AgentWrite)))
 	p.runner = p.newRunner(dir)
@@ -91,6 +96,7 @@
 		Metrics:       gateway.NewMetrics(),
 		Replies:       invariant.NewReplyChecker(p.invariants),
 		Errors:        p.errors,
+		Lists:         p.lists,
 	}
 	r.Gateway.SetRoom(p.admission.room)
 	firstListBy := p.state.clock() + firstListTimeout.Seconds()
@@ -106,7 +112,7 @@
 // run restores the pending notifications, serves clients and pushes notifications until a stop signal or an error.
 func (p *process) run() error {
 	p.log.Info().Int("owed", len(p.state.pending)).Int("taken_over", p.state.report.MigratedRecords).
-		Int("old_segments", p.state.report.OldSegments).Int("listed", len(p.cfg.Known.Servers)).
+		Int("old_segments", p.state.report.OldSegments).Int("configured", len(p.cfg.Known.Servers)).
 		Int("recovering", len(p.state.recovering)).Msg("start")
 	saver := recoverystate.NewSaver(p.state.recoveryStore, func(err error) { p.errors.Failed(syserr.RecoveryWrite, "", err) })
 	defer saver.Close()
--- a/dispatcher/reload.go
+++ b/dispatcher/reload.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"orchiddrift/directory"
+	"orchiddrift/endpointstate"
 	"orchiddrift/platform"
 	"orchiddrift/syserr"
 )
@@ -22,10 +23,10 @@
 
 // watchReloads reloads the configuration on each SIGHUP. An invalid configuration changes nothing. initial is the
 // configuration at the start.
-func watchReloads(signals <-chan os.Signal, system System, initial *config, agent *platform.Agent, errs *syserr.Recorder, log zerolog.Logger) {
+func watchReloads(signals <-chan os.Signal, system System, initial *config, agent *platform.Agent, lists listKeeper, errs *syserr.Recorder, log zerolog.Logger) {
 	for range signals {
 		startedAt := time.Now()
-		err := reload(system, initial, agent, log)
+		err := reload(system, initial, agent, lists, log)
 		if err != nil {
 			log.Error().Err(err).Dur("again_for", reloadRetryTimeout).Msg("configuration not reloaded; keeping the current one")
 		}
@@ -34,7 +35,7 @@
 				errs.Failed(syserr.ConfigRead, initial.Name, err)
 			}
 			time.Sleep(reloadRetryInterval)
-			err = reload(system, initial, agent, log)
+			err = reload(system, initial, agent, lists, log)
 		}
 		if err != nil {
 			log.Error().Err(err).Float64("after", time.Since(startedAt).Seconds()).Msg("configuration given up until the next SIGHUP")
@@ -44,7 +45,7 @@
 
 // reload reads the configuration again and applies the discovery address. Other changes need a restart: it logs a warning
 // if the configuration differs from initial in any of them.
-func reload(system System, initial *config, agent *platform.Agent, log zerolog.Logger) error {
+func reload(system System, initial *config, agent *platform.Agent, lists listKeeper, log zerolog.Logger) error {
 	cfg, err := loadConfig(system)
 	if err != nil {
 		return err
@@ -53,6 +54,7 @@
 		return err
 	}
 	moved := agent.SetAddr(cfg.Discovery)
+	lists.SetConfigured(endpointstate.Digest(cfg.Known))
 	log.Info().Str("discovery", cfg.Discovery).Bool("moved", moved).Msg("configuration reloaded")
 	if cfg.Name != initial.Name || cfg.Listen != initial.Listen || cfg.stateDir != initial.stateDir || cfg.Limits != initial.Limits ||
 		cfg.Ledger != initial.Ledger || !bytes.Equal(cfg.Settings, initial.Settings) {
--- a/dispatcher/resources_test.go
+++ b/dispatcher/resources_test.go
@@ -14,7 +14,7 @@
 
 // servedPackages are the packages of the process that serves.
 var servedPackages = []string{"admission", "clock", "decide", "directory", "disk", "dispatcher", "exchange", "gateway", "intake", "invariant", "ledger",
-	"message", "permit", "platform", "push", "recoverystate", "seglog", "settings", "sock", "syserr"}
+	"message", "permit", "platform", "push", "recoverystate", "endpointstate", "seglog", "settings", "sock", "syserr"}
 
 // parseFolder parses the Go files of a folder for which keep returns true.
 func parseFolder(t *testing.T, folder string, keep func(name string) bool) (files []*ast.File) {
--- a/dispatcher/start.go
+++ b/dispatcher/start.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"orchiddrift/admission"
 	"orchiddrift/clock"
 	"orchiddrift/decide"
 	"orchiddrift/disk"
@@ -97,19 +98,20 @@
 	// recovering lists the destinations to which the previous process limited pushes; recoveryStore holds those of this process.
 	recovering    []decide.RecoveryState
 	recoveryStore *recoverystate.Store
+	list          keptList
 }
 
 // openState opens the folder, the ledger and the clock, and logs damaged ledger records. If the clock's offset cannot be
-// saved, it is saved in the background once that is possible. If the time since boot cannot be read just now, the start is retried,
-// unless wallClock says to go on by the wall clock.
-func openState(system System, cfg *config, log zerolog.Logger, wallClock bool) (*persistentState, error) {
+// saved, it is saved in the background once that is possible. If the time since boot, or the list of endpoints from before, cannot be
+// read just now, the start is retried, unless goOn says to go on by the wall clock and by the configured list.
+func openState(system System, cfg *config, log zerolog.Logger, goOn bool) (*persistentState, error) {
 	state := &persistentState{}
 	var err error
 	if state.folder, err = system.OpenFolder(cfg.stateDir); err != nil {
 		return nil, fmt.Errorf("ledger: %w", err)
 	}
 	sync := cfg.Ledger.Sync == syncBatch || cfg.Ledger.Sync == syncAlways
-	state.ledger, state.pending, state.report, err = ledger.Open(state.folder, ledger.Options{LimitBytes: cfg.division.FolderBytes - len(recoverystate.FileNames)*recoverystate.MaxBytes - lastRunBytes, Sync: sync})
+	state.ledger, state.pending, state.report, err = ledger.Open(state.folder, ledger.Options{LimitBytes: ledgerBytes(cfg.division), Sync: sync})
 	if err != nil {
 		_ = state.folder.Close()
 		return nil, err
@@ -120,8 +122,11 @@
 	if state.recoveryStore, state.recovering, err = recoverystate.Open(state.folder, sync); err != nil {
 		return nil, errors.Join(fmt.Errorf("recovery state: %w", err), state.ledger.Close(), state.folder.Close())
 	}
+	if state.list, err = openKeptList(state.folder, cfg, sync, goOn, log); err != nil {
+		return nil, errors.Join(fmt.Errorf("list of endpoints: %w", err), state.ledger.Close(), state.folder.Close())
+	}
 	processClock, err := clock.Open(state.folder, system.ClockSource, sync)
-	if errors.Is(err, clock.ErrOffsetUnreadable) || errors.Is(err, clock.ErrSourceUnreadable) && isTransient(err) && !wallClock {
+	if errors.Is(err, clock.ErrOffsetUnreadable) || errors.Is(err, clock.ErrSourceUnreadable) && isTransient(err) && !goOn {
 		return nil, errors.Join(err, state.ledger.Close(), state.folder.Close())
 	}
 	if err != nil {
@@ -132,9 +137,14 @@
 	return state, nil
 }
 
-// clockRetryTimeout is the time since the start after which a dispatcher goes on by the wall clock if the time since boot cannot be
-// read. Nine in ten dispatchers have to be ready within 10 s.
-const clockRetryTimeout = 8 * time.Second
+// ledgerBytes returns the part of the lasting folder that the ledger may take.
+func ledgerBytes(division admission.Division) int {
+	return division.FolderBytes - len(recoverystate.FileNames)*recoverystate.MaxBytes - lastRunBytes - division.EndpointFileBytes
+}
+
+// optionalStateTimeout is the time since the start after which a dispatcher goes on without the time since boot, or the list from before,
+// if they cannot be read. Nine in ten dispatchers have to be ready within 10 s.
+const optionalStateTimeout = 8 * time.Second
 
 // clockSaveInterval is the time between two attempts to save the clock's offset.
 const clockSaveInterval = 200 * time.Millisecond
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -54,6 +54,8 @@
 // Listed is an update of the endpoint list: the full list, or the entries that changed.
 type Listed struct {
 	Full      bool
+	Version   int64  // version of the list after the update
+	Source    string // address of the agent that told it
 	Endpoints []directory.Endpoint
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -9,6 +9,7 @@
 
 	"orchiddrift/admission"
 	"orchiddrift/decide"
+	"orchiddrift/directory"
 	"orchiddrift/invariant"
 	"orchiddrift/ledger"
 	"orchiddrift/permit"
@@ -24,6 +25,13 @@
 	Notify(n Notify, report func(Event)) // carries out the effect Notify
 }
 
+// ListKeeper keeps the list of endpoints for the next process. Its methods must not block.
+type ListKeeper interface {
+	Told(update Listed, dir *directory.Directory) // dir is the directory after the update
+	Due(dir *directory.Directory)                 // is called in each round, to do what is due
+	Close(dir *directory.Directory)               // is called once, as the loop ends
+}
+
 // Runner runs a Gateway: it applies events to it and carries out its effects. Only Post may be called concurrently with
 // other methods.
 type Runner struct {
@@ -41,6 +49,7 @@
 	Replies            *invariant.ReplyChecker      // may be nil
 	Errors             *syserr.Recorder             // may be nil
 	SaveRecovery       func([]decide.RecoveryState) // stores what the next process has to know; may be nil, must not block
+	Lists              ListKeeper                   // keeps the list of endpoints for the next process; may be nil
 	recoveryChanged    bool                         // the scheduler reported something since SaveRecovery was last called
 	recoverySavedAt    float64                      // when SaveRecovery was last called
 	listFailureLogged  bool                         // the last watch or fetch of the list failed, and that has been logged
@@ -119,6 +128,9 @@
 	r.effects = append(r.effects, effects...)
 	r.flush()
 	wait = min(wait, r.saveRecovery(now))
+	if r.Lists != nil {
+		r.Lists.Due(r.Gateway.directory)
+	}
 	if len(r.deferred) > 0 || len(r.pendingRefusals) > 0 {
 		wait = min(wait, diskRetryPause)
 	}
@@ -159,6 +171,9 @@
 func (r *Runner) reportEnd() {
 	r.recoverySavedAt = math.Inf(-1)
 	r.saveRecovery(r.Clock())
+	if r.Lists != nil {
+		r.Lists.Close(r.Gateway.directory)
+	}
 	r.Replies.Ended(len(r.deferred))
 }
 
@@ -221,6 +236,9 @@
 		e = r.trackReply(arrived)
 	}
 	r.effects = append(r.effects, r.Gateway.Step(r.Clock(), e)...)
+	if listed, ok := e.(Listed); ok && r.Lists != nil {
+		r.Lists.Told(listed, r.Gateway.directory)
+	}
 }
 
 // abandonedAfter is the time, in seconds, after which a submitted message that was not applied yet is checked for whether its client
--- a/syserr/recorder.go
+++ b/syserr/recorder.go
@@ -32,6 +32,7 @@
 	AgentWrite     Call = "agent write"
 	LedgerWrite    Call = "ledger write"
 	RecoveryWrite  Call = "recovery state write"
+	ListWrite      Call = "list of endpoints write"
 	ConfigRead     Call = "configuration read"
 )
 
