A refusal with a long wait, or without a limit, is no longer read as one of a limit

Cause, the first of three: a refusal that reports little left of its limit counts as one of a limit that others have used up, twice in a row, and binds nothing. One that reports that there is no limit (both figures 0) was taken for that as well, and so was one with a wait of 21 s, which no limit tells.

Change: only a reported limit, and only a wait of at most 2 s, makes a refusal one of a limit. A longer wait tells of an outage in whichever answer it stands, also where it comes after its call was given up: one function records all waits.

TestLongWaitIsAnOutage failed before in five of its seven cases.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -219,8 +219,7 @@
 func (s *Scheduler) HandleOutcome(now float64, outcome Outcome) Decision {
 	h := s.held[outcome.NotificationID]
 	if entry, ok := s.dir.Find(outcome.Dest, outcome.Endpoint); ok { // a wait that was told after the push had ended
-		t := s.throttle(entry)
-		t.blockedUntil = max(t.blockedUntil, now+outcome.ToldWait)
+		s.recordToldWait(now, s.throttle(entry), outcome.ToldWait)
 	}
 	if h == nil {
 		return Decision{}
@@ -235,9 +234,7 @@
 	c := h.call
 	h.call = nil
 	if c != nil {
-		if outcome.ToldWait > 0 { // a wait applies whatever the rest of the answer says
-			c.throttle.blockedUntil = max(c.throttle.blockedUntil, now+outcome.ToldWait)
-		}
+		s.recordToldWait(now, c.throttle, outcome.ToldWait) // it applies whatever the rest of the answer says
 		if c.pending--; c.pending == 0 {
 			c.endpoint.calls = slices.DeleteFunc(c.endpoint.calls, func(x *call) bool { return x == c })
 			s.callsInFlight--
--- a/decide/health.go
+++ b/decide/health.go
@@ -71,6 +71,17 @@
 	}
 }
 
+// recordToldWait records that a destination told a wait, if it is not 0. A wait that is too long for a limit tells of an outage.
+func (s *Scheduler) recordToldWait(now float64, t *throttle, wait float64) {
+	if wait <= 0 {
+		return
+	}
+	t.blockedUntil = max(t.blockedUntil, now+wait)
+	if wait > refusalOutageAfter {
+		s.eject(now, t, ReasonRefusedLong)
+	}
+}
+
 // recordRefusal records a refused push. The reason may be a limit, too many connections, or an outage.
 func (s *Scheduler) recordRefusal(now float64, c *call, outcome Outcome) {
 	t, ep := c.throttle, c.endpoint
@@ -101,8 +112,8 @@
 	t.refusalSamples = appendLast(t.refusalSamples, 1, healthSamples)
 	// Other dispatchers may have used up the limit, so the first maxLimitRefusals refusals that report this are not treated as
 	// an outage. An outage that is reported as an exhausted limit is thus detected one refusal later.
-	limitExhausted := !s.routes.SeparateKinds[ep.kind] && outcome.LimitReported && outcome.LimitLeft <= ampleLimitLeft &&
-		t.consecutiveRefusals <= maxLimitRefusals
+	limitExhausted := !s.routes.SeparateKinds[ep.kind] && outcome.LimitReported && outcome.Limit > 0 &&
+		outcome.LimitLeft <= ampleLimitLeft && outcome.ToldWait <= refusalOutageAfter && t.consecutiveRefusals <= maxLimitRefusals
 	if limitExhausted {
 		s.reportOutcome(c, outcome.Result, ReasonLimitExhausted, true)
 	} else {
--- /dev/null
+++ b/decide/told_shut_test.go
@@ -0,0 +1,58 @@
+package decide_test
+
+import (
+	"testing"
+
+	"orchiddrift/decide"
+	"orchiddrift/directory"
+)
+
+// refusedFor returns an outcome of a refused push that tells a wait, in seconds.
+func refusedFor(wait float64) decide.Outcome {
+	return decide.Outcome{Result: decide.Throttled, ToldWait: wait}
+}
+
+// status returns what a harness assumes of its destination A.
+func (h *harness) status() decide.RecoveryStatus {
+	return h.scheduler.RecoveryStatus(h.now, directory.Endpoint{ID: "A1", Kind: "plain", Dest: "A", Rate: 10})
+}
+
+// newQuietHarness returns a harness with one endpoint and two dispatchers that prints nothing.
+func newQuietHarness() *harness {
+	h := newHarness(8, 400, "A1")
+	h.quiet = true
+	return h
+}
+
+// A wait that is too long for a limit tells of an outage, whatever is reported of a limit and in whichever answer it stands: such a
+// refusal counted as one of a limit that others have used up, and bound nothing (issue 87, review/8).
+func TestLongWaitIsAnOutage(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		outcome decide.Outcome
+		want    decide.HealthState
+	}{
+		{"reports no limit", decide.Outcome{Result: decide.Throttled, ToldWait: 21, LimitReported: true}, decide.Ejected},
+		{"reports a limit in use", decide.Outcome{Result: decide.Throttled, ToldWait: 21, LimitReported: true, LimitLeft: 0.1, Limit: 10}, decide.Ejected},
+		{"reports nothing", refusedFor(21), decide.Ejected},
+		{"not attempted", decide.Outcome{Result: decide.NotAttempted, ToldWait: 21}, decide.Ejected},
+		{"no limit, no wait", decide.Outcome{Result: decide.Throttled, LimitReported: true}, decide.Suspected},
+		{"a limit in use, a short wait", decide.Outcome{Result: decide.Throttled, ToldWait: 0.7, LimitReported: true, LimitLeft: 0.1, Limit: 10}, decide.Healthy},
+	} {
+		h := newQuietHarness()
+		h.submit("reading", "Aa")
+		h.runAt(0)
+		h.finish("A1", test.outcome, "Aa")
+		if got := h.status().State; got != test.want {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+	h := newQuietHarness()
+	h.submit("reading", "Aa")
+	h.runAt(0)
+	h.finish("A1", decide.Outcome{Result: decide.TimedOut}, "Aa")
+	h.scheduler.HandleOutcome(h.now, decide.Outcome{Dest: "A", Endpoint: "A1", ToldWait: 21})
+	if got := h.status().State; got != decide.Ejected {
+		t.Errorf("told after the push had ended: %v", got)
+	}
+}
