A delivery of a call that was sent before a failure was known does not end the outage

Cause: calls that were still out as the partner shut were delivered after the refusal was known, and counted as its return. Slow start (14 s) ran off during the told wait (21 s), and the partner opened to full pace.

Change: a delivery counts as a return, and ends a row of refusals, only if its call was sent after the latest failure was known. That holds for refusals with and without a wait, failures, resets and time-outs alike.

TestEarlierCallsDoNotEndAnOutage failed before in all four cases.

--- a/decide/health.go
+++ b/decide/health.go
@@ -53,9 +53,15 @@
 	ep.topics[h.Topic] = topicHealth{lastDelivery: now}
 	ep.maxCalls += paceGrowth / ep.maxCalls
 	t.outcomes = appendLast(t.outcomes, sample{now, 0}, maxPushSamples)
-	t.refusedSince, t.consecutiveRefusals, t.refusalSamples = never, 0, appendLast(t.refusalSamples, 0, healthSamples)
+	t.refusalSamples = appendLast(t.refusalSamples, 0, healthSamples)
 	t.lastDeliveredSend, t.lastDelivery = max(t.lastDeliveredSend, c.startedAt), now
 	t.sendOutcomes = appendLast(t.sendOutcomes, sample{c.startedAt, 0}, maxSendOutcomes)
+	if c.startedAt >= t.lastRefusal {
+		t.refusedSince, t.consecutiveRefusals = never, 0
+	}
+	if t.budget.failedSince(c.startedAt) { // it was taken before the outage, and says nothing of its end
+		return
+	}
 	s.classifyFirstFailure(t, false)
 	previous := t.health()
 	t.failuresInRow = 0
--- a/decide/recovery_budget.go
+++ b/decide/recovery_budget.go
@@ -14,6 +14,7 @@
 	respondingSince float64 // estimated return to service; never until a push is delivered after the latest failure
 	firstAnswer     float64 // first delivery after the latest failure
 	deliveries      int     // since the latest failure
+	failedAt        float64 // latest failed or refused push
 	oftenFailing    bool    // several of the latest pushes failed: deliveries close to each other do not show that there was no outage
 }
 
@@ -33,9 +34,12 @@
 	if !b.bound() {
 		b.boundSince, b.deliveredBefore, b.oftenFailing = now, deliveredBefore, false
 	}
-	b.respondingSince, b.firstAnswer, b.deliveries = never, never, 0
+	b.failedAt, b.respondingSince, b.firstAnswer, b.deliveries = now, never, never, 0
 }
 
+// failedSince reports whether a push failed or was refused after the given time.
+func (b *recoveryBudget) failedSince(sentAt float64) bool { return b.bound() && sentAt < b.failedAt }
+
 // pushDelivered begins slow start if pushes are limited and none has been delivered since the latest failure. Slow start lasts
 // for Recovery.WarmUp; the capacity is assumed to grow from respondingSince on.
 func (b *recoveryBudget) pushDelivered(now, respondingSince float64) {
--- a/decide/told_shut_test.go
+++ b/decide/told_shut_test.go
@@ -1,6 +1,7 @@
 package decide_test
 
 import (
+	"fmt"
 	"testing"
 
 	"orchiddrift/decide"
@@ -56,3 +57,40 @@
 		t.Errorf("told after the push had ended: %v", got)
 	}
 }
+
+// Deliveries of calls that were sent before a refusal, or before a failure, was known do not end the outage: slow start ran off while
+// the destination was still shut (issue 87, review/8).
+func TestEarlierCallsDoNotEndAnOutage(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		outcome decide.Outcome
+		want    decide.HealthState
+	}{
+		{"told to wait", refusedFor(15), decide.Ejected},
+		{"refused", decide.Outcome{Result: decide.Throttled}, decide.Suspected},
+		{"failed", decide.Outcome{Result: decide.Failed}, decide.Suspected},
+		{"reset", decide.Outcome{Result: decide.Reset}, decide.Suspected},
+	} {
+		h := newQuietHarness()
+		h.submit("reading", "Aa", "Ab", "Ac")
+		h.runAt(0)
+		h.runAt(0.02)
+		h.finish("A1", test.outcome, "Aa")
+		h.runAt(0.1)
+		h.finish("A1", decide.Outcome{Result: decide.Delivered}, "Ab", "Ac")
+		if got := h.status().State; got != test.want {
+			t.Errorf("%s, then calls of before delivered: %v, want %v", test.name, got, test.want)
+		}
+		for at := 0.2; h.status().State == test.want && at < 60; at += 0.1 { // a call sent since is delivered
+			h.submit("reading", fmt.Sprint("Ad", at))
+			clear(h.pushed)
+			h.runAt(at)
+			for id := range h.pushed {
+				h.finish("A1", decide.Outcome{Result: decide.Delivered}, id)
+			}
+		}
+		if got := h.status().State; got != decide.SlowStart && got != decide.Healthy {
+			t.Errorf("%s, then a later call delivered: %v", test.name, got)
+		}
+	}
+}
