After a told wait a destination is cold: nothing returns before it said it would

Cause: the return is estimated half way between the last refusal and the first answer, at most half of the warm-up ago. During a told wait nothing is tried, so after one of 21 s a partner that opens this moment counted as one that had been back for half of its warm-up, with 0.6 of its capacity in place of 0.2.

Change: the estimate is no earlier than the end of the wait that was told.

TestColdAtTheEndOfAToldWait failed before: a part of 9.6 calls in a span, 6.6 are allowed.

--- a/decide/health.go
+++ b/decide/health.go
@@ -83,6 +83,7 @@
 		return
 	}
 	t.blockedUntil = max(t.blockedUntil, now+wait)
+	t.shutUntil = max(t.shutUntil, now+wait)
 	if wait > refusalOutageAfter {
 		s.eject(now, t, ReasonRefusedLong)
 	}
--- a/decide/slowstart.go
+++ b/decide/slowstart.go
@@ -180,10 +180,10 @@
 }
 
 // estimateReturn estimates when an outage ended whose first answer arrived now: halfway between the last failure or refusal
-// and now, but no longer ago than maxElapsedShare of slow start. Trials may be farther apart than slow start is long, and
-// without that bound the first dispatcher to get an answer would treat the destination as warm.
+// and now, but no longer ago than maxElapsedShare of slow start, and not before the end of a wait that was told. Trials may be farther
+// apart than slow start is long, and without these bounds the first dispatcher to get an answer would treat the destination as warm.
 func (s *Scheduler) estimateReturn(now float64, t *throttle) float64 {
-	return max((max(t.lastFailure, t.lastRefusal)+now)/2, now-maxElapsedShare*s.recovery.WarmUp)
+	return max((max(t.lastFailure, t.lastRefusal)+now)/2, now-maxElapsedShare*s.recovery.WarmUp, min(now, t.shutUntil))
 }
 
 // capacityShare returns the share of its capacity that a destination has: the initial one until it responds, then more and more.
--- a/decide/state.go
+++ b/decide/state.go
@@ -141,6 +141,7 @@
 	failuresInRow       int       // failed and refused pushes since the last delivery
 	inFlight            int       // calls in flight
 	blockedUntil        float64   // no push starts before
+	shutUntil           float64   // end of the latest wait that was told; the destination takes nothing before
 	allowance           float64   // calls that may start until a new report; never for no bound
 	limit               float64   // last reported limit in calls per second; 0 for none
 	idleSince           float64   // time since which no call has been in flight
--- a/decide/told_shut_test.go
+++ b/decide/told_shut_test.go
@@ -94,3 +94,30 @@
 		}
 	}
 }
+
+// A destination that was shut and told so is cold as it opens: it was taken for half warm, since nothing had been tried during the wait
+// (issue 87, review/8).
+func TestColdAtTheEndOfAToldWait(t *testing.T) {
+	const wait, warmUp = 15.0, 10.0
+	h := newQuietHarness()
+	h.submit("reading", "Aa")
+	h.runAt(0)
+	h.finish("A1", refusedFor(wait), "Aa")
+	clear(h.pushed)
+	at := 0.0
+	for ; len(h.pushed) == 0 && at < 60; at += 0.1 {
+		h.submit("reading", fmt.Sprint("Ab", at))
+		h.runAt(at)
+	}
+	if at < wait {
+		t.Fatalf("pushed at %.1f, told to wait until %.1f", at, wait)
+	}
+	for id := range h.pushed {
+		h.finish("A1", decide.Outcome{Result: decide.Delivered}, id)
+	}
+	share := 0.2 + 0.8*(h.now-100-wait)/warmUp // that the destination has of its capacity, at most
+	evenShare := 10.0 / 2                      // of one of two dispatchers; more arrives
+	if got, most := h.status().Part, 2*share*evenShare*2; h.status().State != decide.SlowStart || got > most {
+		t.Errorf("%v at %.1f: part %.1f, at most %.1f", h.status().State, h.now-100, got, most)
+	}
+}
