The recovery budget of a destination with hundreds of calls a second is kept too

Callers would see: a partner that takes more than some 100 calls a second is pushed over towards the end of its slow start, or at once if it takes 400 or more.

Cause: the last 256 pushes to a destination are kept, and the calls of a span are counted from these. A budget of more than 256 calls in a span was thus none.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -198,7 +198,7 @@
 		c.size++
 		c.pending++
 		h.call = c
-		t.sentPushes = appendLast(t.sentPushes, sample{now, sharedPushWeight}, maxPushSamples)
+		s.countPush(now, t, sharedPushWeight)
 		return
 	}
 	ep := s.endpoint(entry.ID)
@@ -211,7 +211,7 @@
 	t.inFlight++
 	s.callsInFlight++
 	t.allowance--
-	t.sentPushes = appendLast(t.sentPushes, sample{now, 1}, maxPushSamples)
+	s.countPush(now, t, 1)
 }
 
 // HandleOutcome records how a push ended and decides what becomes of its notification: it is finished, given up, or queued
--- a/decide/recovery_budget.go
+++ b/decide/recovery_budget.go
@@ -104,7 +104,7 @@
 		}
 		t.failuresInRow = 0
 		t.budget.respondingSince, t.budget.firstAnswer = min(now, state.RespondingSince), min(now, state.FirstAnswer)
-		t.sentPushes = append(t.sentPushes, sample{now, 1})
+		s.countPush(now, t, 1)
 		s.reportHealth(t, HealthEvent{Previous: Healthy, Reason: ReasonRestored})
 	}
 }
--- a/decide/told_shut_test.go
+++ b/decide/told_shut_test.go
@@ -18,6 +18,13 @@
 	return h.scheduler.RecoveryStatus(h.now, directory.Endpoint{ID: "A1", Kind: "plain", Dest: "A", Rate: 10})
 }
 
+// placeAll places every notification whose turn has come, however many there are.
+func (h *harness) placeAll() {
+	for wait, id := h.scheduler.NextTurn(h.now); wait <= 0; wait, id = h.scheduler.NextTurn(h.now) {
+		h.apply(h.scheduler.Place(h.now, h.notifications[id]))
+	}
+}
+
 // newQuietHarness returns a harness with one endpoint and two dispatchers that prints nothing.
 func newQuietHarness() *harness {
 	h := newHarness(8, 400, "A1")
@@ -121,3 +128,46 @@
 		t.Errorf("%v at %.1f: part %.1f, at most %.1f", h.status().State, h.now-100, got, most)
 	}
 }
+
+// A destination that takes hundreds of calls a second is held to its budget too: only the last 256 pushes were counted, so that a budget
+// of more was none, and slow start ended early.
+func TestBudgetOfManyCalls(t *testing.T) {
+	const rate, warmUp, share, span, arrivals, rounding = 400.0, 14.0, 0.2, 1.5, 600.0, 1e-9
+	h := newHarnessWith(func(d *deployment) {
+		d.capacity = decide.Capacity{MaxCalls: 4000, MaxHeld: 20000}
+		d.recovery = decide.Recovery{InitialCapacityShare: share, WarmUp: warmUp, OverloadFactor: 2, OverloadSpan: span, Dispatchers: 1}
+	}, 4000, 20000)
+	h.quiet = true
+	h.dir.Apply([]directory.Endpoint{{ID: "A1", Kind: "plain", Dest: "A", Stage: directory.Ready, Rate: rate}})
+	h.submit("reading", "Aa")
+	h.runAt(0)
+	h.finish("A1", refusedFor(5), "Aa")
+	var sent []float64
+	returnedAt, submitted := 0.0, 0
+	for tick := range 4000 { // of 5 ms
+		at := float64(tick) / 200
+		h.now = 100 + at
+		for ; float64(submitted) < at*arrivals; submitted++ {
+			h.submit("reading", fmt.Sprint("A", submitted))
+		}
+		clear(h.pushed)
+		h.placeAll()
+		for id := range h.pushed { // answered at once
+			sent = append(sent, at)
+			h.finish("A1", decide.Outcome{Result: decide.Delivered}, id)
+			if returnedAt == 0 {
+				returnedAt = at
+			}
+		}
+		for len(sent) > 0 && sent[0] <= at-span+rounding {
+			sent = sent[1:]
+		}
+		allowed := 2 * rate * span * (share + (1-share)*min(1, (at-5)/warmUp))
+		if at >= 5 && at < 5+warmUp && float64(len(sent)) > allowed {
+			t.Fatalf("%d calls in the span that ends at %.2f, %.0f are allowed; returned at %.2f", len(sent), at, allowed, returnedAt)
+		}
+	}
+	if returnedAt == 0 || len(sent) == 0 {
+		t.Fatal("nothing was sent after the return")
+	}
+}
