Pushes to a destination that answers as it recovers have time for an answer

Callers would see: after an outage as long as the TTL a partner that is back gets next to nothing.

Cause: the queue goes by age.

Change: while a destination recovers, and the latest known of it is an answer or a refusal, notifications with time for the longest time-out go first.

TestTrialsHaveTimeForAnAnswer failed before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -365,6 +365,9 @@
 	firstTimely := slices.IndexFunc(dest.queue, func(h *heldNotification) bool {
 		return !h.topic.ExponentialDecay || h.objectiveEnd() > now
 	})
+	if s.recoversAnswering(dest) { // the recovery budget is for notifications that can be delivered
+		firstTimely = slices.IndexFunc(dest.queue, func(h *heldNotification) bool { return s.canAwaitAnswer(now, h) })
+	}
 	for i := range dest.queue {
 		h := dest.queue[(max(0, firstTimely)+i)%len(dest.queue)]
 		lowBenefit := h.topic.Benefit < s.maxBenefit
--- a/decide/fleet_rig_test.go
+++ b/decide/fleet_rig_test.go
@@ -23,12 +23,27 @@
 	rejects                    // it rejects calls before processing, and reports that most of its limit is left
 	resets                     // it takes calls and resets their connections
 	mixed                      // each call fails in one of these ways
+	shuts                      // it rejects calls before processing, and tells with some of the answers when it opens
 )
 
-var failureModeNames = [...]string{"hangs", "refuses", "errs", "rejects", "resets", "mixed"}
+var failureModeNames = [...]string{"hangs", "refuses", "errs", "rejects", "resets", "mixed", "shuts"}
 
 func (m failureMode) String() string { return failureModeNames[m] }
 
+// reportMode is what a destination reports with its answers.
+type reportMode int
+
+const (
+	reportsUsage reportMode = iota // its limit, and what is left of it
+	reportsZero                    // that there is no limit
+	reportsNone                    // nothing
+	reportsInUse                   // its limit, of which little is left
+)
+
+var reportModeNames = [...]string{"usage", "no limit", "nothing", "a limit in use"}
+
+func (m reportMode) String() string { return reportModeNames[m] }
+
 // restartMode says which dispatchers restart during an outage.
 type restartMode int
 
@@ -56,14 +71,25 @@
 	resubmits      bool    // clients submit again, to any dispatcher, what was handed back to them
 	otherTraffic   bool    // a second destination, which stays healthy, gets as many notifications
 	countEachCall  bool    // calls of one dispatcher in one tick count each; otherwise as one
+	// judgedAtLastCall takes the capacity of a span at its last call, as the operators do ("what the settings allow it then"); else it is
+	// that at the first one, which is less.
+	judgedAtLastCall bool
+	reports          reportMode
+	tellsOneIn       int     // shuts: one refusal in this many tells when the destination opens, the first one included; 0 for none
+	toldLate         float64 // seconds by which the wait that is told ends after the return; may be negative
+	freeRefusals     bool
+	maxCalls         int // in flight, of a dispatcher; 0 for 12
+	maxHeld          int // of a dispatcher; 0 for 60
 }
 
 const (
 	outageStart   = 20.0  // seconds after the start of the simulation
 	fleetTick     = 0.005 // seconds
 	answerLatency = 0.1   // seconds
-	failingDest   = "D"
-	healthyDest   = "H"
+	// refusalLatency is the time, in seconds, in which a destination that is shut rejects a call.
+	refusalLatency = 0.02
+	failingDest    = "D"
+	healthyDest    = "H"
 )
 
 // returnsAt returns when the destination answers again, in seconds.
@@ -102,6 +128,7 @@
 	startedAt float64
 	endsAt    float64
 	result    decide.Result // with which it will end
+	toldWait  float64       // that it will be told, in seconds from its end
 }
 
 // trackedNotification is a notification that a dispatcher holds, with what its ledger would record of it.
@@ -136,6 +163,7 @@
 	arrivals    []arrival // calls that reached the destination after the outage
 	answered    []float64 // start times of the calls to it that were answered
 	resubmitted []decide.Notification
+	refused     int // calls that the destination rejected
 	lastID      int
 }
 
@@ -189,7 +217,7 @@
 	return &simulatedDispatcher{index: index, notifications: map[string]*trackedNotification{}, restartAt: math.Inf(1),
 		scheduler: decide.New(f.rng.Uint64(), dir, []decide.Topic{{Name: "reading", Repeat: decide.Repeatable, DedupScope: "all",
 			Objective: 2.5, TTL: f.timeToLive(), Benefit: 1, LateBenefit: 0.4}},
-			decide.Capacity{MaxCalls: 12, MaxHeld: 60}, decide.Routes{}, f.recovery,
+			decide.Capacity{MaxCalls: cmp.Or(f.maxCalls, 12), MaxHeld: cmp.Or(f.maxHeld, 60)}, decide.Routes{FreeRefusals: f.freeRefusals}, f.recovery,
 			decide.PushPolicy{MaxPushes: 8, Tick: fleetTick, IdleTimeout: 15}, decide.TenantQuotas{}, false)}
 }
 
@@ -300,8 +328,9 @@
 		disp.failures++
 	}
 	if push.dest == failingDest && (outcome.Final || push.result == decide.Throttled) { // it reports its limit, and what is left of it
-		outcome.LimitReported, outcome.Limit, outcome.LimitLeft = true, f.rate, math.Max(0, 1-f.answeredLately()/f.rate)
+		f.report(&outcome)
 	}
+	outcome.ToldWait = push.toldWait
 	if tracked != nil {
 		tracked.lastFailed = push.result != decide.Delivered
 		if push.result != decide.NotConnected && push.result != decide.Throttled {
@@ -315,6 +344,21 @@
 	f.confirmFinal(disp, decision)
 }
 
+// littleLeft is the share of its limit that a destination has left whose limit is in use.
+const littleLeft = 0.2
+
+// report adds to an outcome what the destination reports of its limit.
+func (f *simulatedFleet) report(outcome *decide.Outcome) {
+	switch f.reports {
+	case reportsUsage:
+		outcome.LimitReported, outcome.Limit, outcome.LimitLeft = true, f.rate, math.Max(0, 1-f.answeredLately()/f.rate)
+	case reportsZero:
+		outcome.LimitReported = true
+	case reportsInUse:
+		outcome.LimitReported, outcome.Limit, outcome.LimitLeft = true, f.rate, littleLeft
+	}
+}
+
 // answeredLately returns the number of calls to the destination in the last second that were answered.
 func (f *simulatedFleet) answeredLately() float64 {
 	recent := 0
@@ -380,6 +424,12 @@
 		push.endsAt, push.result = f.now+0.1+0.3*f.rng.Float64(), decide.Failed
 	case rejects:
 		push.endsAt, push.result = f.now+0.02, decide.Throttled
+	case shuts:
+		push.endsAt, push.result = f.now+refusalLatency, decide.Throttled
+		if f.tellsOneIn > 0 && f.refused%f.tellsOneIn == 0 {
+			push.toldWait = max(0, f.returnsAt()+f.toldLate-push.endsAt)
+		}
+		f.refused++
 	case resets:
 		push.endsAt, push.result = f.now+0.05+0.25*f.rng.Float64(), decide.Reset
 	}
@@ -426,7 +476,11 @@
 				sawOutageCalls++
 			}
 		}
-		capacity := f.recovery.InitialCapacityShare + (1-f.recovery.InitialCapacityShare)*math.Min(1, (first.at-returnsAt)/f.recovery.WarmUp)
+		judgedAt := first.at
+		if f.judgedAtLastCall {
+			judgedAt = arrivals[j-1].at
+		}
+		capacity := f.recovery.InitialCapacityShare + (1-f.recovery.InitialCapacityShare)*math.Min(1, (judgedAt-returnsAt)/f.recovery.WarmUp)
 		budget := f.recovery.OverloadFactor * capacity * f.rate * f.recovery.OverloadSpan
 		if excess := float64(j-i) - budget - f.margin(budget); excess > worstExcess && 3*sawOutageCalls > 2*(j-i) {
 			worstExcess, calls, allowed, at = excess, j-i, budget, first.at-returnsAt
--- a/decide/slowstart.go
+++ b/decide/slowstart.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 
 	"orchiddrift/directory"
 )
@@ -229,6 +230,22 @@
 	return ownLimit / sum
 }
 
+// recoversAnswering reports whether pushes to all endpoints of a destination are limited, because of an outage or after one, and the
+// latest that is known of it is that it answers, if only with refusals.
+func (s *Scheduler) recoversAnswering(dest *destination) bool {
+	listed := s.dir.Endpoints(dest.id)
+	return len(listed) > 0 && !slices.ContainsFunc(listed, func(entry directory.Endpoint) bool {
+		t := s.throttle(entry)
+		return !t.budget.bound() || max(t.lastRefusal, t.lastDelivery) <= t.lastFailure
+	})
+}
+
+// canAwaitAnswer reports whether a notification has time left for the longest timeout. A push whose timeout the TTL cuts short may end
+// before a cold destination answers: then it uses the recovery budget, delivers nothing, and does not show that the destination is back.
+func (s *Scheduler) canAwaitAnswer(now float64, h *heldNotification) bool {
+	return h.expiresAt-s.policy.Tick-now >= maxTimeoutObjectives*h.topic.Objective
+}
+
 // trialCalls returns the number of calls in flight to destinations in an outage. They are limited so that several hanging
 // destinations cannot take all slots.
 func (s *Scheduler) trialCalls() int {
--- a/decide/slowstart_test.go
+++ b/decide/slowstart_test.go
@@ -43,6 +43,7 @@
 	spanStart  float64 // seconds after the return
 	senders    string  // who sent the calls of that span, as describeSpan says
 	budgetUsed float64 // share of the budget of the first three seconds used by dispatchers that saw the outage
+	used       float64 // share of what the destination takes in its warm-up that was sent
 }
 
 // overloaded reports whether the destination got more calls in that span than it can take.
@@ -69,6 +70,7 @@
 			}
 			meanCapacity := f.recovery.InitialCapacityShare + (1-f.recovery.InitialCapacityShare)*earlySpan/2/f.recovery.WarmUp
 			result.budgetUsed /= earlySpan * f.recovery.OverloadFactor * f.rate * meanCapacity
+			result.used = usedShare(f, arrivals)
 			results[i] = result
 		})
 	}
--- a/decide/told_shut_test.go
+++ b/decide/told_shut_test.go
@@ -171,3 +171,31 @@
 		t.Fatal("nothing was sent after the return")
 	}
 }
+
+// Pushes to a cold destination that answers carry notifications with time for an answer: of a long queue the oldest were tried first, with
+// too little time left to be answered, so that a return was not seen for longer than the TTL.
+func TestTrialsHaveTimeForAnAnswer(t *testing.T) {
+	const wait, coldLatency, ttl = 18.5, 1.0, 20.0
+	h := newQuietHarness()
+	h.submit("reading", "A-first")
+	h.runAt(0)
+	h.finish("A1", refusedFor(wait), "A-first")
+	for tick := range 400 {
+		at := float64(tick) / 10
+		h.now = 100 + at
+		h.submit("reading", fmt.Sprintf("A%03d", tick))
+		clear(h.pushed)
+		h.runAt(at)
+		for id := range h.pushed {
+			submittedAt := 0.0
+			fmt.Sscanf(id, "A%f", &submittedAt)
+			if left := ttl - (at - submittedAt/10); left < coldLatency {
+				t.Fatalf("at %.1f %s is pushed with %.1f s left, an answer takes %.1f s", at, id, left, coldLatency)
+			}
+			h.finish("A1", decide.Outcome{Result: decide.Delivered, Latency: coldLatency}, id)
+		}
+	}
+	if got := h.status().State; got != decide.Healthy && got != decide.SlowStart {
+		t.Errorf("%v after the return", got)
+	}
+}
