Laboratory: a process has to know the list that the process before was told

It now counts what came to any process of the dispatcher, unless that was killed within the grace for a drain. Example_draining has both cases; the case "started since" is now one of a kill within the grace, and held as before.

A planted dispatcher that forgets the list is caught, one that keeps it is not (TestPlantedForgetsList).

--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -127,6 +127,23 @@
 	}
 }
 
+// Guards against a rule that allows a new process to go by an old list: a planted one that forgets what it was told of drains sends to
+// endpoints that are gone while the list is silent (issue 87, review/6).
+func TestPlantedForgetsList(t *testing.T) {
+	t.Parallel()
+	s := open("told-list")
+	for role, wantBroken := range map[string]bool{"planted:" + planted.ForgetList: true, "planted:": false, "run": false} {
+		r, _, err := lab.Run(context.Background(), s, lab.Options{Command: command(role)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := brokenRules(r)
+		if strings.Contains(got, rules.Draining) != wantBroken || role == "run" && got != "" { // planted ones lose messages when killed
+			t.Errorf("%s: broken rules are %q; first violations: %v", role, got, r.Violations[:min(3, len(r.Violations))])
+		}
+	}
+}
+
 // The real dispatcher keeps the rules in scenarios with several troubles at once.
 func TestScenarios(t *testing.T) {
 	for _, name := range []string{"tour", "all-at-once", "lost-and-killed", "cold-restart", "drain-in-wait", "late"} {
--- a/lab/planted/planted.go
+++ b/lab/planted/planted.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -40,6 +41,10 @@
 // can to the destinations at which pushes of the earlier process failed. It breaks rules.Overload.
 const ForgetOutage = "forgets"
 
+// ForgetList, in place of a rule, makes the dispatcher go by the list of its configuration when it is started again. It breaks
+// rules.Draining where the list is silent then.
+const ForgetList = "forgets-list"
+
 // ReuseConnections, in place of a rule, makes the dispatcher send all calls to an endpoint on one connection and take the next answer
 // there for that of the call, whatever came before. It breaks rules.Lost or rules.Duplicate where endpoints copy answers.
 const ReuseConnections = "reuses"
@@ -52,11 +57,14 @@
 const heldBytes = 1 << 20
 
 // violators lists the names that stand in place of a rule.
-var violators = []string{CloseUnanswered, ForgetOutage, ReuseConnections, GoByID, SearchContent, HoldMemory}
+var violators = []string{CloseUnanswered, ForgetOutage, ForgetList, ReuseConnections, GoByID, SearchContent, HoldMemory}
 
 // failedFile is the file in the state folder that lists, a line each, the destinations at which pushes failed.
 const failedFile = "failed"
 
+// listFile is the file in the state folder with the list of endpoints as last told.
+const listFile = "list"
+
 // message is an accepted notification.
 type message struct {
 	id, topic, dest, idempotencyKey string
@@ -116,13 +124,14 @@
 			d.failedEarlier[strings.TrimSpace(dest)] = true
 		}
 	}
-	d.applyList(config.Known)
+	known := d.storedList(config.Known)
+	d.applyList(known)
 	if brokenRule == SearchContent {
 		for _, m := range d.findInContent() {
 			go d.deliver(m)
 		}
 	}
-	go d.watchList(config.Known.Version)
+	go d.watchList(known.Version)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /_health", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("POST /api", d.handle)
@@ -154,6 +163,28 @@
 	}
 }
 
+// storedList returns the list that an earlier process stored, or else the configured one.
+func (d *dispatcher) storedList(configured platform.List) platform.List {
+	text, err := os.ReadFile(filepath.Join(d.statePath, listFile))
+	var stored platform.List
+	if err != nil || d.brokenRule == ForgetList || json.Unmarshal(text, &stored) != nil {
+		return configured
+	}
+	return stored
+}
+
+// storeList stores the known endpoints for the next process.
+func (d *dispatcher) storeList(version int64) {
+	d.mu.Lock()
+	l := platform.List{Version: version, Full: true, Servers: slices.Collect(maps.Values(d.servers))}
+	d.mu.Unlock()
+	text, _ := json.Marshal(l) // plain values always marshal
+	path := filepath.Join(d.statePath, listFile)
+	if os.WriteFile(path+".next", text, 0o600) == nil {
+		_ = os.Rename(path+".next", path)
+	}
+}
+
 // watchList follows the changes of the list by long polls.
 func (d *dispatcher) watchList(version int64) {
 	for {
@@ -167,6 +198,7 @@
 			version = l.Version
 			if d.brokenRule != rules.Draining { // to break it, the dispatcher ignores all changes of the list, drains included
 				d.applyList(l)
+				d.storeList(version)
 			}
 		}
 		_ = resp.Body.Close()
--- a/lab/rules/rules.go
+++ b/lab/rules/rules.go
@@ -387,7 +387,7 @@
 }
 
 // drainListedAt returns the time at which the dispatcher's process that runs at now received a list in which the endpoint
-// is draining or gone, or counts as having received it.
+// is draining or gone, or counts as having received it. It has to know what an earlier process was told.
 func (c *checker) drainListedAt(dispatcher int, endpoint scenario.Endpoint, now float64) float64 {
 	startedAt := -1.0
 	for _, event := range c.journal.ProcessEvents {
@@ -402,15 +402,35 @@
 		}
 	}
 	for _, update := range c.journal.ListUpdates {
-		if update.Dispatcher != dispatcher || update.At < startedAt || update.At >= listedAt {
+		toldAt := c.listKnownAt(update, startedAt)
+		if update.Dispatcher != dispatcher || toldAt >= listedAt {
 			continue
 		}
 		i := slices.IndexFunc(update.Entries, func(entry record.ListEntry) bool { return entry.ID == endpoint.ID })
 		// A list that was sent before the endpoint is listed cannot contain it.
 		missing := i < 0 && update.Full && update.At >= endpoint.AddedAt+c.world.ListDelay(endpoint)
 		if i >= 0 && update.Entries[i].State != "ready" || missing {
-			listedAt = update.At
+			listedAt = toldAt
 		}
 	}
 	return listedAt
 }
+
+// listKnownAt returns the time from which a process that started at startedAt has to know an update of the list: that of the update, or
+// its start if the update came to an earlier process that ran on for the grace period of a drain, in which it had to store it; +Inf if
+// that process was killed before.
+func (c *checker) listKnownAt(update record.ListUpdate, startedAt float64) float64 {
+	if update.At >= startedAt {
+		return update.At
+	}
+	for _, event := range c.journal.ProcessEvents {
+		ended := event.Kind == record.Killed || event.Kind == record.Exited || event.Kind == record.Crashed
+		if ended && event.Dispatcher == update.Dispatcher && event.At >= update.At {
+			if event.At < update.At+c.world.Dispatchers.DrainGrace {
+				return math.Inf(1)
+			}
+			break
+		}
+	}
+	return startedAt
+}
--- a/lab/rules/rules_test.go
+++ b/lab/rules/rules_test.go
@@ -177,8 +177,8 @@
 }
 
 // Calls may go to a draining endpoint only for a grace period after the dispatcher received the list. A dispatcher that got no list
-// counts as having received it after 6 s, and one that restarted has to receive it again. The same rule forbids calls with
-// notifications that no client handed in.
+// counts as having received it after 6 s. One that restarted knows what the process before was told, unless that was killed within the
+// grace period after it. The same rule forbids calls with notifications that no client handed in.
 func Example_draining() {
 	listed := func(b *journalBuilder, state string, at float64) *journalBuilder {
 		b.AddListUpdate(record.ListUpdate{At: at, Entries: []record.ListEntry{{ID: "e0-0", State: state}}})
@@ -187,14 +187,17 @@
 	printViolations("within grace period", listed((&journalBuilder{}).accept("a", "again", "", 20).push("a", 21.54, 21.6, record.Delivered, 0).redirect("e0-0"), "draining", 21))
 	printViolations("after grace period", listed((&journalBuilder{}).accept("a", "again", "", 20).push("a", 21.56, 21.6, record.Delivered, 0).redirect("e0-0"), "draining", 21))
 	printViolations("no list received", (&journalBuilder{}).accept("a", "again", "", 25).push("a", 26.56, 26.6, record.Delivered, 0).redirect("e0-0"))
-	printViolations("started since", listed((&journalBuilder{}).event(record.Started, 21.2).accept("a", "again", "", 20).push("a", 21.56, 21.6, record.Delivered, 0).redirect("e0-0"),
+	printViolations("killed within grace period", listed((&journalBuilder{}).event(record.Killed, 21.1).event(record.Started, 21.2).accept("a", "again", "", 20).push("a", 21.56, 21.6, record.Delivered, 0).redirect("e0-0"),
+		"draining", 21))
+	printViolations("killed after grace period", listed((&journalBuilder{}).event(record.Killed, 21.6).event(record.Started, 21.7).accept("a", "again", "", 20).push("a", 22.3, 22.4, record.Delivered, 0).redirect("e0-0"),
 		"draining", 21))
 	printViolations("unknown notification", (&journalBuilder{}).accept("a", "again", "", 5).push("b", 5, 5.1, record.Delivered, 0).push("a", 5.1, 5.2, record.Delivered, 0))
 	// Output:
 	// within grace period: kept
 	// after grace period: drains at 21.560 s: dispatcher 0 a e0-0: called at 21.560; listed as draining at 21.000, with a grace period of 0.550 s
 	// no list received: drains at 26.560 s: dispatcher 0 a e0-0: called at 26.560; listed as draining at 26.000, with a grace period of 0.550 s
-	// started since: kept
+	// killed within grace period: kept
+	// killed after grace period: drains at 22.300 s: dispatcher 0 a e0-0: called at 22.300; listed as draining at 21.700, with a grace period of 0.550 s
 	// unknown notification: drains at 5.000 s: dispatcher -1 b e1-0: endpoint of another destination, or a notification that no client handed in
 }
 
