A call that is given up behind an interim response holds its ordered key

Cause: any byte counted as the beginning of the answer, so that a time-out or an end behind 102 or 103 was a failure that was answered, and the key moved at once. Interim responses are in front of an answer and none of it.

Change: where nothing of the final response came, the call ends as one to which nothing came: it may still run, and the key rests.

TestTruncatedResponses wanted InvalidResponse for cuts right behind an interim response; those have ConnectionLost now, all other cuts are as they were.

--- a/push/conn.go
+++ b/push/conn.go
@@ -176,6 +176,10 @@
 		return c.endWithoutResponse(err)
 	}
 	statusOK, err := c.readResponse(resp, deadline)
+	var missing *finalResponseMissing
+	if errors.As(err, &missing) {
+		return c.endWithoutResponse(missing.cause)
+	}
 	if err == nil {
 		extra, _ := c.reader.Peek(c.reader.Buffered())
 		c.conn.ReadAnswer(extra)
@@ -201,14 +205,20 @@
 	return ConnectionLost
 }
 
+// finalResponseMissing is the error of a call of which only interim responses came.
+type finalResponseMissing struct{ cause error }
+
+func (e *finalResponseMissing) Error() string { return "no final response: " + e.cause.Error() }
+
 // readResponse reads a response, after any interim ones, once its first byte has come. It also reports whether the status line has
-// status 200, which it may although the rest is missing.
+// status 200, which it may although the rest is missing. The error is a finalResponseMissing if no byte of the final response came.
 func (c *Conn) readResponse(resp *fasthttp.Response, deadline time.Time) (statusOK bool, err error) {
 	err = c.readHead(resp, deadline)
 	for err == nil && resp.StatusCode() < fasthttp.StatusOK { // interim 1xx responses
-		if err = c.awaitFirstByte(deadline); err == nil {
-			err = c.readHead(resp, deadline)
+		if err = c.awaitFirstByte(deadline); err != nil {
+			return false, &finalResponseMissing{err}
 		}
+		err = c.readHead(resp, deadline)
 	}
 	if err != nil {
 		return c.readPartialHead(resp), err
