Decision module: selection and pacing in files of their own

Whose turn it is and where it goes is in selection.go, when a throttle admits a push in pacing.go, with the counting of pushes that stood in state.go.

--- a/decide/state.go
+++ b/decide/state.go
@@ -180,43 +180,6 @@
 	return SlowStart
 }
 
-// spanBuckets is the number of parts of an overload span that are told apart where pushes are too many to be kept one by one.
-const spanBuckets = 64
-
-// countPush records a push with its weight. Where there is no room for all pushes, those of a short time are kept as one: a limit that
-// allows more pushes in a span than are kept must still see all of them.
-func (s *Scheduler) countPush(now float64, t *throttle, weight float64) {
-	if len(t.sentPushes) >= maxPushSamples {
-		t.sentPushes = mergeWithin(t.sentPushes, s.recovery.OverloadSpan/spanBuckets)
-	}
-	t.sentPushes = appendLast(t.sentPushes, sample{now, weight}, maxPushSamples)
-}
-
-// mergeWithin merges samples that are less than width apart from the first of them. The result has the time of the last one, so that it
-// counts no shorter than any of them.
-func mergeWithin(samples []sample, width float64) []sample {
-	merged, first := samples[:0], -never
-	for _, next := range samples {
-		if last := len(merged) - 1; last >= 0 && next.at-first < width {
-			merged[last] = sample{next.at, merged[last].value + next.value}
-			continue
-		}
-		merged, first = append(merged, next), next.at
-	}
-	return merged
-}
-
-// forgetPush removes a push that was not sent, started at the given time, from those that count against the limits. One that was merged
-// with others stays.
-func (t *throttle) forgetPush(startedAt float64) {
-	for i := len(t.sentPushes) - 1; i >= 0 && t.sentPushes[i].at >= startedAt; i-- {
-		if t.sentPushes[i].at == startedAt {
-			t.sentPushes = slices.Delete(t.sentPushes, i, i+1)
-			return
-		}
-	}
-}
-
 // firstFailureCounts counts how many first failures turned out to be part of an outage, and how many were isolated.
 type firstFailureCounts struct{ outages, isolated float64 }
 
