Read the configured list's digest once at a start, rewrite test configurations in one place

The digest of a list of thousands of endpoints was computed twice as a process starts; chooseStartList keeps it. The reload test wrote its configuration with the code of rewriteConfig.

--- a/dispatcher/process.go
+++ b/dispatcher/process.go
@@ -12,7 +12,6 @@
 
 	"orchiddrift/admission"
 	"orchiddrift/directory"
-	"orchiddrift/endpointstate"
 	"orchiddrift/exchange"
 	"orchiddrift/gateway"
 	"orchiddrift/intake"
@@ -69,7 +68,7 @@
 	list := chooseStartList(cfg, p.state.list.state, p.log)
 	list.fill(dir)
 	p.lists = newListKeeper(p.state.list.store, list.head, p.errors, p.log)
-	p.lists.SetConfigured(endpointstate.Digest(cfg.Known))
+	p.lists.SetConfigured(list.configured)
 	p.admission = newMemoryAdmission(cfg, cfg.admissionLimits().MemoryBytes, p.log)
 	p.admission.watch.lastRun = openLastRun(p.state.folder, p.log)
 	p.agent = platform.NewAgent(cfg.Discovery, list.watchFrom, p.log)
--- a/dispatcher/start_list.go
+++ b/dispatcher/start_list.go
@@ -39,7 +39,8 @@
 	head         endpointstate.Head
 	endpoints    []directory.Endpoint
 	destinations []string
-	watchFrom    int64 // version from which the watch begins
+	watchFrom    int64  // version from which the watch begins
+	configured   uint64 // endpointstate.Digest of the configured list
 }
 
 // chooseStartList returns the list by which a process goes until discovery answers, and logs which one that is.
@@ -63,6 +64,7 @@
 		list.destinations = kept.Destinations
 		list.watchFrom = platform.UnknownVersion
 	}
+	list.configured = configured.Configured
 	line := log.Info().Stringer("list", choice).Int("endpoints", len(list.endpoints)).Int64("configured_version", cfg.Known.Version)
 	if kept != nil {
 		line = line.Int64("kept_version", kept.Version).Str("kept_source", kept.Source).Bool("kept_incomplete", kept.Incomplete)
--- a/dispatcher/system_test.go
+++ b/dispatcher/system_test.go
@@ -177,20 +177,7 @@
 		return text, err
 	}
 	env.startOn(t, system)
-	path := env.variables["ROUTER_CONFIG"]
-	text, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var config map[string]any
-	if err := json.Unmarshal(text, &config); err != nil {
-		t.Fatal(err)
-	}
-	config["discovery"] = strings.TrimPrefix(after.URL, "http://")
-	text, _ = json.Marshal(config) // always marshals: it was decoded from JSON
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	env.rewriteConfig(t, func(config map[string]any) { config["discovery"] = strings.TrimPrefix(after.URL, "http://") })
 	failuresLeft.Store(2)
 	env.signal(t, syscall.SIGHUP)
 	select {
